Set up the build, the checks and the interfaces between the libraries

Cause: the repository was empty; libraries that are built side by side need their interfaces first. Conclusion: the libraries can be written in parallel.

--- /dev/null
+++ b/cmake/currantring.cmake
@@ -0,0 +1,50 @@
+# Each library and program is a flat folder; its sources are all .cpp files in it.
+
+# Defines the static library NAME from src/NAME/*.cpp.
+function(currantring_library NAME)
+    cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
+    file(GLOB SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${NAME}/*.cpp)
+    if(NOT SOURCES)
+        return()
+    endif()
+    add_library(${NAME} STATIC ${SOURCES})
+    set_target_properties(${NAME} PROPERTIES PREFIX "")
+    target_include_directories(${NAME} PUBLIC ${PROJECT_SOURCE_DIR}/src/${NAME})
+    target_compile_definitions(${NAME} PUBLIC CURRANTRING_VERSION="${PROJECT_VERSION}")
+    target_link_libraries(${NAME} PUBLIC ${ARG_LIBRARIES})
+endfunction()
+
+# Defines the program NAME from DIRECTORY/*.cpp.
+function(currantring_program NAME DIRECTORY)
+    cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
+    file(GLOB SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${DIRECTORY}/*.cpp)
+    if(NOT SOURCES)
+        return()
+    endif()
+    add_executable(${NAME} ${SOURCES})
+    target_link_libraries(${NAME} PRIVATE ${ARG_LIBRARIES})
+    target_compile_definitions(${NAME} PRIVATE CURRANTRING_CHARTS="${PROJECT_SOURCE_DIR}/charts")
+endfunction()
+
+# Defines the one test program of library NAME from tests/NAME/*.cpp.
+function(currantring_tests NAME)
+    file(GLOB SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${NAME}/*.cpp)
+    if(NOT SOURCES OR NOT TARGET ${NAME})
+        return()
+    endif()
+    add_executable(test-${NAME} ${SOURCES})
+    target_link_libraries(test-${NAME} PRIVATE ${NAME} Boost::unit_test_framework)
+    target_compile_definitions(test-${NAME} PRIVATE
+        BOOST_TEST_DYN_LINK
+        CURRANTRING_CHARTS="${PROJECT_SOURCE_DIR}/charts"
+        CURRANTRING_BIN="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}"
+        CURRANTRING_GOLDEN="${PROJECT_SOURCE_DIR}/tests/golden")
+    add_test(NAME ${NAME} COMMAND test-${NAME})
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT 600)
+endfunction()
+
+# Registers the Boost.Test suite @promise-x of NAME's test program under the CTest label of that name.
+function(currantring_promise LABEL NAME)
+    add_test(NAME ${LABEL}-${NAME} COMMAND test-${NAME} --run_test=@${LABEL})
+    set_tests_properties(${LABEL}-${NAME} PROPERTIES LABELS "promise;${LABEL}" TIMEOUT 600)
+endfunction()
--- /dev/null
+++ b/src/libcurrantring/log.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "logevent.h"
+
+#include <string>
+
+namespace currantring {
+
+/**
+ * Starts the process's log: one key=value line per event on standard error.
+ *
+ * Events of one name past a limit per second are counted, not printed, and the count is printed afterwards.
+ * Precondition: called once, before any other thread logs.
+ */
+void startLog(LogLevel threshold);
+
+/** Writes @p event as one line. Thread safety: may be called from any thread. */
+void writeLog(const LogEvent &event);
+
+/** The line `event=name key=value …` with values quoted where needed. Thread safety: reentrant. */
+std::string formatLogEvent(const LogEvent &event);
+
+} // namespace currantring
