--- /dev/null
+++ b/src/libscheduler/taskrouter.cpp
@@ -0,0 +1,151 @@
+#include "taskrouter.h"
+
+namespace currantring {
+
+namespace {
+
+/** How long a request about a task is tried while its shard has no reachable writer. */
+constexpr Milliseconds patience(4000);
+constexpr Milliseconds retryDelay(100);
+/** Longest wait for a peer's reply to one try. */
+constexpr Milliseconds forwardTimeout(2000);
+/** Bounds the path of a request while hosts disagree on who writes a shard. */
+constexpr std::uint32_t maximumHops = 4;
+
+TaskId taskOfRequest(const CallerRequest &request)
+{
+    return std::visit(
+        [](const auto &typed) {
+            using Request = std::decay_t<decltype(typed)>;
+            if constexpr (std::same_as<Request, SubmitTask>) {
+                return makeTaskId(typed.owner, typed.key);
+            } else if constexpr (TaskRequest<Request>) {
+                return typed.task;
+            } else {
+                return TaskId();
+            }
+        },
+        request);
+}
+
+} // namespace
+
+TaskRouter::TaskRouter(HostId self, Context &context, const Membership &membership, ShardSet &shards,
+                       ForwardTable &forwards)
+    : m_self(std::move(self))
+    , m_context(context)
+    , m_membership(membership)
+    , m_shards(shards)
+    , m_forwards(forwards)
+{
+}
+
+void TaskRouter::handle(const CallerRequest &request, std::uint32_t hops, ReplyHandler handler)
+{
+    const auto job = std::make_shared<Job>();
+    job->request = request;
+    job->task = taskOfRequest(request);
+    job->hops = hops;
+    job->deadline = m_context.now() + patience;
+    job->handler = std::move(handler);
+    job->lastReply = makeReply(ReplyCode::NotYetKnown, "no-writer");
+    attempt(job);
+}
+
+ShardId TaskRouter::targetShard(const TaskId &task) const
+{
+    const ShardId home = homeShard(task, m_shards.shardCount());
+    const ShardScheduler *shard = m_shards.find(home);
+    const TaskState *state = shard == nullptr ? nullptr : shard->log().ledger().find(task);
+    return state != nullptr && state->movedTo ? *state->movedTo : home;
+}
+
+void TaskRouter::attempt(const JobPointer &job)
+{
+    if (ShardScheduler *holder = m_shards.holderOf(job->task)) {
+        askShard(*holder, job);
+        return;
+    }
+    const ShardId target = targetShard(job->task);
+    if (ShardScheduler *shard = m_shards.find(target)) {
+        const bool isOnItsWay = target != homeShard(job->task, m_shards.shardCount());
+        if (isOnItsWay) {
+            retry(job);
+        } else {
+            askShard(*shard, job);
+        }
+        return;
+    }
+    const std::optional<HostId> writer = m_membership.claimant(target);
+    if (writer && *writer != m_self && job->hops < maximumHops) {
+        forward(*writer, job);
+        return;
+    }
+    retry(job);
+}
+
+void TaskRouter::askShard(ShardScheduler &shard, const JobPointer &job)
+{
+    job->wasSent = true;
+    const auto handler = [this, job](const CallerReply &reply) {
+        settle(job, reply);
+    };
+    std::visit(
+        [&](const auto &typed) {
+            using Request = std::decay_t<decltype(typed)>;
+            if constexpr (std::same_as<Request, SubmitTask>) {
+                shard.desk().submit(typed, handler);
+            } else if constexpr (std::same_as<Request, ReadTask>) {
+                shard.desk().read(typed, handler);
+            } else if constexpr (std::same_as<Request, ReadAccount>) {
+                shard.desk().readAccount(typed, handler);
+            } else if constexpr (std::same_as<Request, CancelTask>) {
+                shard.desk().cancel(typed, handler);
+            } else if constexpr (std::same_as<Request, EvictTask>) {
+                shard.desk().evict(typed, handler);
+            } else {
+                handler(makeReply(ReplyCode::Invalid, "not a request about a task"));
+            }
+        },
+        job->request);
+}
+
+void TaskRouter::forward(const HostId &peer, const JobPointer &job)
+{
+    job->wasSent = true;
+    m_forwards.forward(peer, job->request, job->hops + 1, forwardTimeout,
+                       m_lifetime.guard([this, job](const std::optional<CallerReply> &reply) {
+                           settle(job, reply.value_or(makeReply(ReplyCode::NotYetKnown, "connection-lost")));
+                       }));
+}
+
+void TaskRouter::settle(const JobPointer &job, const CallerReply &reply)
+{
+    const bool mayChange = reply.code == ReplyCode::NotYetKnown;
+    if (!mayChange || job->hops > 0) {
+        job->handler(reply); // A host that was asked by a peer leaves further tries to it.
+        return;
+    }
+    job->lastReply = reply;
+    retry(job);
+}
+
+void TaskRouter::retry(const JobPointer &job)
+{
+    if (job->hops > 0 || m_context.now() + retryDelay >= job->deadline) {
+        giveUp(job);
+        return;
+    }
+    m_context.schedule(retryDelay, m_lifetime.guard([this, job] { attempt(job); }));
+}
+
+void TaskRouter::giveUp(const JobPointer &job)
+{
+    if (!job->wasSent && job->hops == 0 && std::holds_alternative<SubmitTask>(job->request)) {
+        job->handler(makeReply(ReplyCode::NotRun, "no-writer")); // It never left this host.
+        return;
+    }
+    job->handler(job->lastReply);
+}
+
+} // namespace currantring
