Read process settings from flags, environment and defaults

Cause: programs had the Settings header but nothing behind it. Ruled out: cxxopts' own typed values and errors, which stop at the first mistake and know nothing of variables, units or ranges. Change: cxxopts splits the words; kinds, ranges and addresses are checked here, so that all mistakes are reported together with flag or variable. Before: no implementation. Conclusion: programs can be wired to Settings.

--- a/src/libcurrantring/settings.h
+++ b/src/libcurrantring/settings.h
@@ -63,6 +63,8 @@
     [[nodiscard]] bool isGiven(std::string_view name) const;
 
 private:
+    void readOption(const OptionSpec &spec, const std::map<std::string, std::string, std::less<>> &flags);
+
     std::string m_program;
     std::string m_summary;
     const std::vector<OptionSpec> &m_specs;
