--- /dev/null
+++ b/src/libscheduler/endpointhealth.cpp
@@ -0,0 +1,104 @@
+#include "endpointhealth.h"
+
+#include "retrybudget.h"
+
+namespace currantring {
+
+namespace {
+
+constexpr BackoffLimits probeBackoff { Milliseconds(250), Milliseconds(30000) };
+
+} // namespace
+
+EndpointHealth::EndpointHealth(const Chart &chart)
+    : m_chart(&chart)
+    , m_state(chart.initial())
+{
+}
+
+bool EndpointHealth::apply(std::string_view event)
+{
+    const auto target = m_chart->next(m_state, event);
+    if (!target) {
+        return false;
+    }
+    m_state = *target;
+    return true;
+}
+
+bool EndpointHealth::noteSuccess()
+{
+    m_failures = 0;
+    if (m_state != "probing") {
+        return false;
+    }
+    m_backoff = Milliseconds(0);
+    return apply("recover");
+}
+
+bool EndpointHealth::noteFailure(TimePoint now, Random &random)
+{
+    ++m_failures;
+    const bool wasProbing = m_state == "probing";
+    if (!wasProbing && (m_state != "live" || m_failures < failuresToShed)) {
+        return false;
+    }
+    m_backoff = nextBackoff(random, probeBackoff, m_backoff);
+    m_probeAt = now + m_backoff;
+    return apply("fail");
+}
+
+void EndpointHealth::leave()
+{
+    apply("leave");
+}
+
+void EndpointHealth::comeBack()
+{
+    if (apply("return")) {
+        m_failures = 0;
+    }
+}
+
+void EndpointHealth::remove()
+{
+    apply("remove");
+}
+
+bool EndpointHealth::startProbe(TimePoint now)
+{
+    return m_state == "shed" && m_probeAt <= now && apply("probe");
+}
+
+void EndpointHealth::dropProbe(TimePoint now)
+{
+    if (m_state == "probing") {
+        apply("fail");
+        m_probeAt = now + probeBackoff.base;
+    }
+}
+
+const std::string &EndpointHealth::state() const
+{
+    return m_state;
+}
+
+bool EndpointHealth::isLive() const
+{
+    return m_state == "live";
+}
+
+bool EndpointHealth::isLeaving() const
+{
+    return m_state == "leaving";
+}
+
+std::optional<TimePoint> EndpointHealth::probeDue() const
+{
+    if (m_state != "shed") {
+        return std::nullopt;
+    }
+    return m_probeAt;
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libscheduler/requestoutcome.cpp
@@ -0,0 +1,14 @@
+#include "requestoutcome.h"
+
+namespace currantring {
+
+CallerReply makeOutcome(ReplyCode code, std::string_view reason)
+{
+    const nlohmann::json body {
+        { "outcome", std::string(replyCodeName(code)) },
+        { "reason", std::string(reason) },
+    };
+    return CallerReply { code, body.dump() };
+}
+
+} // namespace currantring
