Route requests against counted slots, with one home for each non-idempotent one

Cause: callers' requests had no path to the endpoints. Ruled out: taking the home from this moment's hosts alone; after a change the new home would run repeats of what the former one ran. Homes are trusted only when they held for as long as repeats are awaited. Change: RequestRouter takes the endpoint chart and this host's name; PeerRoom is as before.

--- /dev/null
+++ b/src/libscheduler/requestrouter.cpp
@@ -0,0 +1,342 @@
+#include "requestrouter.h"
+
+#include "requestoutcome.h"
+#include "requestrouter_p.h"
+
+#include <algorithm>
+
+namespace currantring {
+
+RequestRouter::Private::Private(Context &routerContext, const Chart &chart, HostId host, Forwarder routerForwarder)
+    : context(routerContext)
+    , self(std::move(host))
+    , forwarder(std::move(routerForwarder))
+    , endpoints(routerContext, chart)
+    , homes(self)
+{
+    applyConfiguration(Configuration());
+}
+
+RequestRouter::Private::~Private() = default;
+
+void RequestRouter::Private::applyConfiguration(const Configuration &next)
+{
+    configuration = next;
+    // A shorter longest deadline doesn't shorten the requests that are already under way, here or elsewhere.
+    EndpointLimits limits = endpoints.limits();
+    limits.longestDeadline = std::max(limits.longestDeadline, configuration.duration(Setting::RequestDeadline));
+    for (const ServiceEntry &service : configuration.services()) {
+        limits.longestDeadline = std::max(limits.longestDeadline, service.deadline);
+    }
+    limits.clockError = configuration.duration(Setting::ClockError);
+    limits.reportInterval = configuration.duration(Setting::ReportInterval);
+    endpoints.setLimits(limits);
+}
+
+Milliseconds RequestRouter::Private::repeatWindow() const
+{
+    const EndpointLimits &limits = endpoints.limits();
+    return 2 * limits.longestDeadline + limits.clockError + configuration.duration(Setting::PeerSilence);
+}
+
+bool RequestRouter::Private::isPeerViewFresh() const
+{
+    return peerRooms.empty() || !peersHeardAt
+        || *peersHeardAt + configuration.duration(Setting::PeerSilence) >= context.now();
+}
+
+Flight *RequestRouter::Private::find(std::uint64_t number)
+{
+    const auto flight = flights.find(number);
+    return flight == flights.end() ? nullptr : &flight->second;
+}
+
+FairRequestQueue &RequestRouter::Private::queueOf(const ServiceName &service)
+{
+    return queues[service];
+}
+
+std::uint32_t RequestRouter::Private::weightOf(const OwnerId &owner) const
+{
+    const OwnerEntry *entry = configuration.owner(owner);
+    return entry == nullptr ? 1 : entry->weight;
+}
+
+Milliseconds RequestRouter::Private::callerTime(const CallService &request) const
+{
+    const ServiceEntry *service = configuration.service(request.service);
+    const Milliseconds wanted = request.timeout.value_or(service->deadline);
+    return std::min(wanted, endpoints.limits().longestDeadline);
+}
+
+std::optional<CallerReply> RequestRouter::Private::refuseAtOnce(const CallService &request) const
+{
+    if (configuration.service(request.service) == nullptr) {
+        return makeOutcome(ReplyCode::Invalid, requestreason::unknownService);
+    }
+    if (configuration.owner(request.owner) == nullptr) {
+        return makeOutcome(ReplyCode::Invalid, requestreason::unknownOwner);
+    }
+    if (request.request.value().empty()) {
+        return makeOutcome(ReplyCode::Invalid, requestreason::noRequestId);
+    }
+    return std::nullopt;
+}
+
+void RequestRouter::Private::handle(const CallService &request, bool isEntry, ReplyHandler handler)
+{
+    if (const auto refusal = refuseAtOnce(request)) {
+        context.count("requests_refused", nlohmann::json::parse(refusal->body)["reason"].get<std::string>());
+        handler(*refusal);
+        return;
+    }
+    // An earlier copy's outcome comes first: after it, this host's own reasons to refuse could mislead.
+    if (joinEarlierCopy(request, handler)) {
+        return;
+    }
+    const std::string_view reason = draining     ? requestreason::draining
+        : callerTime(request) <= Milliseconds(0) ? requestreason::deadlineTooShort
+                                                 : std::string_view();
+    if (!reason.empty()) {
+        context.count("requests_refused", std::string(reason));
+        handler(makeOutcome(ReplyCode::NotRun, reason));
+        return;
+    }
+    budget.noteRequest(context.now(), request.owner, request.service);
+    dispatch(open(request, isEntry, std::move(handler)).number);
+}
+
+bool RequestRouter::Private::joinEarlierCopy(const CallService &request, ReplyHandler &handler)
+{
+    const RequestKey key { request.owner, request.request };
+    if (const auto first = running.find(key); first != running.end()) {
+        joinCaller(flights.at(first->second), callerTime(request), std::move(handler));
+        context.count("requests_joined", "in-flight");
+        return true;
+    }
+    if (const auto outcome = record.find(context.now(), key)) {
+        context.count("requests_joined", "finished");
+        handler(*outcome);
+        return true;
+    }
+    return false;
+}
+
+void RequestRouter::Private::joinCaller(Flight &flight, Milliseconds remaining, ReplyHandler handler)
+{
+    // The first copy may still run after this caller's deadline, so all that can be said then is "unknown".
+    const auto shared = std::make_shared<ReplyHandler>(std::move(handler));
+    const auto answerOnce = [shared](CallerReply reply) {
+        if (const ReplyHandler once = std::exchange(*shared, nullptr)) {
+            once(std::move(reply));
+        }
+    };
+    const TimerId timer = context.schedule(
+        remaining,
+        guarded([answerOnce] { answerOnce(makeOutcome(ReplyCode::OutcomeUnknown, requestreason::deadlinePassed)); }));
+    flight.callers.push_back(WaitingCaller { answerOnce, timer });
+}
+
+Flight &RequestRouter::Private::open(const CallService &request, bool isEntry, ReplyHandler handler)
+{
+    const std::uint64_t number = ++lastNumber;
+    Flight &flight = flights[number];
+    flight.number = number;
+    flight.request = request;
+    flight.idempotent = request.idempotent.value_or(configuration.service(request.service)->idempotent);
+    flight.isEntry = isEntry;
+    flight.arrived = context.now();
+    flight.deadline = context.now() + callerTime(request);
+    flight.deadlineTimer = context.schedule(callerTime(request), guarded([this, number] { deadlinePassed(number); }));
+    flight.callers.push_back(WaitingCaller { std::move(handler), std::nullopt });
+    running.emplace(RequestKey { request.owner, request.request }, number);
+    runningNonIdempotent += flight.idempotent ? 0 : 1;
+    return flight;
+}
+
+void RequestRouter::Private::finish(std::uint64_t number, CallerReply reply)
+{
+    auto node = flights.extract(number);
+    if (node.empty()) {
+        return;
+    }
+    Flight &flight = node.mapped();
+    const RequestKey key { flight.request.owner, flight.request.request };
+    running.erase(key);
+    runningNonIdempotent -= flight.idempotent ? 0 : 1;
+    context.cancel(flight.deadlineTimer);
+    if (flight.backoffTimer) {
+        context.cancel(*flight.backoffTimer);
+    }
+    if (flight.phase == FlightPhase::Queued) {
+        queueOf(flight.request.service).remove(number);
+    }
+    const TimePoint now = context.now();
+    // A request that was passed on is remembered by its home alone, which may learn more of it than this host.
+    if (flight.isHome && reply.code != ReplyCode::NotRun) {
+        record.remember(now, key, reply, now + repeatWindow());
+    }
+    if (flight.isEntry && reply.code == ReplyCode::Ok) {
+        context.observe("request_duration", flight.request.owner, "service", now - flight.arrived);
+    }
+    context.count("requests_answered", std::string(replyCodeName(reply.code)));
+    for (WaitingCaller &caller : flight.callers) {
+        if (caller.deadlineTimer) {
+            context.cancel(*caller.deadlineTimer);
+        }
+        caller.handler(reply);
+    }
+}
+
+void RequestRouter::Private::finishNotRun(std::uint64_t number, std::string_view reason)
+{
+    const Flight *flight = find(number);
+    if (flight == nullptr) {
+        return;
+    }
+    if (flight->mayHaveRun) {
+        finishUnknown(number, reason);
+        return;
+    }
+    context.count("requests_refused", std::string(reason));
+    finish(number, makeOutcome(ReplyCode::NotRun, reason));
+}
+
+void RequestRouter::Private::finishUnknown(std::uint64_t number, std::string_view reason)
+{
+    finish(number, makeOutcome(ReplyCode::OutcomeUnknown, reason));
+}
+
+void RequestRouter::Private::deadlinePassed(std::uint64_t number)
+{
+    const Flight *flight = find(number);
+    if (flight == nullptr) {
+        return;
+    }
+    const bool isOut = flight->phase == FlightPhase::AtEndpoint || flight->phase == FlightPhase::Forwarded;
+    if (isOut) {
+        finishUnknown(number, requestreason::deadlinePassed);
+    } else {
+        finishNotRun(number, requestreason::expiredInQueue);
+    }
+}
+
+void RequestRouter::Private::followHosts(bool provenFresh)
+{
+    std::set<ServiceName> services;
+    for (const PeerRoom &peer : peerRooms) {
+        for (const ServiceRoom &room : peer.rooms) {
+            services.insert(room.service);
+        }
+    }
+    const std::vector<ServiceName> own = endpoints.services();
+    services.insert(own.begin(), own.end());
+    services.insert(followedServices.begin(), followedServices.end());
+    for (const ServiceName &service : services) {
+        std::vector<HostId> hosts;
+        for (const PeerRoom &peer : peerRooms) {
+            if (std::any_of(peer.rooms.begin(), peer.rooms.end(),
+                            [&service](const ServiceRoom &room) { return room.service == service; })) {
+                hosts.push_back(peer.host);
+            }
+        }
+        if (!draining && endpoints.serves(service)) {
+            hosts.push_back(self);
+        }
+        homes.setHosts(context.now(), repeatWindow(), service, std::move(hosts), provenFresh && peerRooms.empty());
+    }
+    followedServices = std::move(services);
+}
+
+RequestRouter::RequestRouter(Context &context, const Chart &endpointChart, HostId self, Forwarder forwarder)
+    : d(std::make_unique<Private>(context, endpointChart, std::move(self), std::move(forwarder)))
+{
+}
+
+RequestRouter::~RequestRouter() = default;
+
+void RequestRouter::setConfiguration(const Configuration &configuration)
+{
+    d->applyConfiguration(configuration);
+    d->pump();
+}
+
+void RequestRouter::setPeerRooms(std::vector<PeerRoom> rooms)
+{
+    const TimePoint now = d->context.now();
+    if (!d->isPeerViewFresh()) {
+        d->homes.forgetHistory(now);
+    }
+    d->peersHeardAt = now;
+    d->peerRooms = std::move(rooms);
+    d->followHosts(false);
+}
+
+void RequestRouter::addEndpoint(const WorkerInfo &worker, CommandFence fence, bool freshlyKnown)
+{
+    d->endpoints.add(worker, fence, freshlyKnown);
+    if (!freshlyKnown) {
+        d->homes.distrustFresh(d->context.now(), worker.services);
+    }
+    d->followHosts(freshlyKnown);
+    d->pump();
+}
+
+void RequestRouter::updateEndpoint(const WorkerInfo &worker)
+{
+    d->endpoints.update(worker);
+    d->followHosts(false);
+    d->pump();
+}
+
+void RequestRouter::removeEndpoint(const WorkerId &worker)
+{
+    d->endpoints.remove(worker);
+    d->followHosts(false);
+    d->pump();
+}
+
+void RequestRouter::handleReport(const WorkerReport &report)
+{
+    d->endpoints.applyReport(report);
+    d->followHosts(false);
+    d->pump();
+}
+
+void RequestRouter::handleCall(const CallService &request, ReplyHandler handler)
+{
+    d->handle(request, true, std::move(handler));
+}
+
+void RequestRouter::handleForwarded(const CallService &request, ReplyHandler handler)
+{
+    d->handle(request, false, std::move(handler));
+}
+
+void RequestRouter::beginDrain()
+{
+    d->draining = true;
+    d->followHosts(false);
+}
+
+std::size_t RequestRouter::inFlight() const
+{
+    return d->flights.size();
+}
+
+std::vector<ServiceRoom> RequestRouter::rooms() const
+{
+    std::vector<ServiceRoom> rooms;
+    if (d->draining) {
+        return rooms;
+    }
+    for (const ServiceName &service : d->endpoints.services()) {
+        if (d->endpoints.serves(service)) {
+            const auto queued = static_cast<std::uint32_t>(d->queueOf(service).size());
+            rooms.push_back(ServiceRoom { service, d->endpoints.freeSlotsFor(service), queued });
+        }
+    }
+    return rooms;
+}
+
+} // namespace currantring
--- a/src/libscheduler/requestrouter.h
+++ b/src/libscheduler/requestrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chart.h"
 #include "configuration.h"
 #include "context.h"
 
@@ -21,30 +22,57 @@
  * Serves requests to latency-critical services on the endpoints whose slots this host counts, and passes others to
  * the host that counts them.
  *
- * A request is sent to an endpoint only against a counted slot. Thread safety: one thread at a time.
+ * A request is sent to an endpoint only against a counted slot.
+ *
+ * Non-idempotent requests run at most once. Each has a home: the host that rendezvous hashing gives for
+ * (owner, request id) over the hosts that serve the service. Every entry host passes the request there; the home
+ * remembers it, answers a repeat with the outcome of the first copy, and sends it to its own endpoints only. NotRun
+ * speaks of the copy that it answers and isn't remembered: a repeat after it is a new request.
+ *
+ * What this protects: repeats through any entry host that come within twice the longest request deadline of the first
+ * copy, also over a change of hosts: a host that wasn't the home in each of its views for that time, plus the time in
+ * which the hosts' views may differ (peer silence and clock error), runs no request that it doesn't know, and answers
+ * OutcomeUnknown ("home-changed"). So after a host joins or goes, the requests whose home changed aren't served for
+ * that time. What it doesn't protect: later repeats, and hosts whose views differ for longer (a lasting partition
+ * with callers on both sides), but for the endpoints' refusal of a superseded writer.
+ *
+ * Idempotent requests that come twice at once to one host share one outcome, and aren't remembered afterwards.
+ * Thread safety: one thread at a time.
  */
 class RequestRouter
 {
 public:
     using ReplyHandler = std::function<void(CallerReply)>;
-    /** Sends a request to a peer; the handler gets its reply, or OutcomeUnknown when none came in time. */
+    /**
+     * Sends a request to a peer; the handler gets its reply, or OutcomeUnknown when none came in time. The handler
+     * must run exactly once; one that runs after the request was answered is ignored.
+     */
     using Forwarder = std::function<void(const HostId &peer, const CallService &request, ReplyHandler handler)>;
 
-    /** Precondition: @p context outlives the router. */
-    RequestRouter(Context &context, Forwarder forwarder);
+    /**
+     * Precondition: @p context and @p endpointChart outlive the router; @p self is the name under which the peers
+     * know this host.
+     */
+    RequestRouter(Context &context, const Chart &endpointChart, HostId self, Forwarder forwarder);
     ~RequestRouter();
     RequestRouter(const RequestRouter &) = delete;
     RequestRouter &operator=(const RequestRouter &) = delete;
 
     /** Settings, owners and services in force from now on. */
     void setConfiguration(const Configuration &configuration);
-    /** What the peers' latest heartbeats say; peers not named are gone. */
+    /**
+     * What the peers' latest heartbeats say; peers not named are gone, and leaving ones aren't named. Every live peer
+     * is named, also without rooms.
+     *
+     * Precondition: called before the first endpoint is added, and with each heartbeat: while there are peers, a
+     * pause longer than the peer silence counts as a pause of this process, after which it must earn its homes anew.
+     */
     void setPeerRooms(std::vector<PeerRoom> rooms);
 
     /**
      * This host counts the slots of @p worker from now on, under @p fence. All its slots count as taken until a
      * report shows them free or the longest request deadline has passed, unless @p freshlyKnown (the worker had no
-     * earlier holder).
+     * earlier holder). An endpoint that is there under the same fence is only updated.
      */
     void addEndpoint(const WorkerInfo &worker, CommandFence fence, bool freshlyKnown);
     /** Updates address, services and state; a leaving endpoint gets no new request. */
