--- /dev/null
+++ b/src/currantringd/limitedserver.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "socketstream.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+#include <httplib.h>
+
+namespace currantring {
+
+/**
+ * An HTTP server that keeps its ConnectionLimits.
+ *
+ * Bodies stay as sent: no form parsing, no decompression, no ranges. A connection past the limits gets a short
+ * refusal and is closed. Thread safety: listenOn, then serve in one thread; finish from any thread.
+ */
+class LimitedServer : public httplib::Server
+{
+public:
+    /** @p onRefused runs in the accepting thread with each connection past the limits. */
+    LimitedServer(ConnectionLimits limits, std::function<void()> onRefused);
+    ~LimitedServer() override;
+    LimitedServer(const LimitedServer &) = delete;
+    LimitedServer &operator=(const LimitedServer &) = delete;
+
+    /** Binds and starts to listen at @p address, `IP:port`; false when the port is taken or not allowed. */
+    [[nodiscard]] bool listenOn(const std::string &address);
+    /** Accepts connections until finish(); returns when all have ended. */
+    void serve();
+    /** Takes no more connections, ends idle ones, and lets requests in flight finish. */
+    void finish();
+    /** Connections that are being served. */
+    [[nodiscard]] std::size_t connections() const;
+
+    /** The connection that the calling thread serves; null outside of a handler. */
+    [[nodiscard]] static const SocketStream *currentStream();
+    /** Ends the calling thread's connection with the answer to this request. */
+    static void closeAfterThisRequest();
+
+private:
+    bool process_and_close_socket(socket_t socket) override;
+    void serveConnection(SocketStream &stream);
+
+    const ConnectionLimits m_limits;
+    std::function<void()> m_onRefused;
+    std::atomic<std::size_t> m_connections = 0;
+    std::atomic<bool> m_finishing = false;
+    int m_stopEvent = -1;
+};
+
+} // namespace currantring
