Carry messages between hosts over HTTP/2

Cause: hosts exchange heartbeats, forwarded requests, moved records and documents; nothing carried them.

Ruled out: a thread for each connection (32 peers in both directions are 64 threads); one connection for both directions (either end would have to decide which of two crossing connections stays).

Change: PeerTransport on one thread: an epoll loop with eventfd and timers, nghttp2 sessions with bounds on streams, frames, windows, headers, message size and incomplete bodies, a bounded outbox for each peer, links that interpret the peer link chart and reconnect with decorrelated jitter, a listener with a limit of connections.

--- /dev/null
+++ b/src/libpeer/peertransport.cpp
@@ -0,0 +1,164 @@
+#include "peertransport.h"
+
+#include "log.h"
+#include "peerlink.h"
+#include "peerlistener.h"
+#include "socket.h"
+#include "thread.h"
+
+#include <atomic>
+#include <cerrno>
+#include <cstring>
+#include <map>
+
+namespace currantring {
+
+struct PeerTransport::Private
+{
+    Private(PeerTransportOptions givenOptions, PeerTransportHandlers givenHandlers)
+        : options(std::move(givenOptions))
+        , handlers(std::move(givenHandlers))
+        , outbox(options.queueMessages, options.queueBytes)
+        , random(options.seed + stableHash(options.self.value()))
+        , context { loop, counters, options }
+    {
+    }
+
+    tl::expected<FileDescriptor, PeerTransportError> openListener() const;
+    void setLink(const HostId &peer, const Address &address);
+    void drainAll();
+
+    PeerTransportOptions options;
+    PeerTransportHandlers handlers;
+    PeerCounters counters;
+    EventLoop loop;
+    PeerOutbox outbox;
+    Random random;
+    PeerConnectionContext context;
+    Address address;
+    /** Whether the loop has been asked to look into the outbox and hasn't yet. */
+    std::atomic<bool> isDrainPosted { false };
+    std::unique_ptr<PeerListener> listener;
+    std::map<HostId, std::unique_ptr<PeerLink>> links;
+    Thread thread;
+};
+
+tl::expected<FileDescriptor, PeerTransportError> PeerTransport::Private::openListener() const
+{
+    const std::string &text = options.listen.value();
+    const std::optional<SocketAddress> native = parseSocketAddress(options.listen);
+    if (!native) {
+        return tl::unexpected(PeerTransportError { PeerTransportErrorKind::BadAddress,
+                                                   "expected an address like 127.0.0.1:7001, got \"" + text + "\"" });
+    }
+    FileDescriptor socket = listenOn(*native);
+    if (!socket.isValid()) {
+        const bool isTaken = errno == EADDRINUSE;
+        return tl::unexpected(
+            PeerTransportError { isTaken ? PeerTransportErrorKind::AddressInUse : PeerTransportErrorKind::System,
+                                 "can't listen for peers on " + text + ": "
+                                     + (isTaken ? "another process has the port" : std::strerror(errno)) });
+    }
+    return socket;
+}
+
+void PeerTransport::Private::setLink(const HostId &peer, const Address &peerAddress)
+{
+    std::unique_ptr<PeerLink> &link = links[peer];
+    if (link && link->address() == peerAddress) {
+        return;
+    }
+    link.reset();
+    link = std::make_unique<PeerLink>(context, outbox, random, peer, peerAddress,
+                                      [this](const HostId &lost) { handlers.onLinkLost(lost); });
+    link->connect();
+}
+
+void PeerTransport::Private::drainAll()
+{
+    isDrainPosted = false;
+    for (const auto &[peer, link] : links) {
+        link->drain();
+    }
+}
+
+PeerTransport::PeerTransport(PeerTransportOptions options, PeerTransportHandlers handlers)
+    : d(std::make_unique<Private>(std::move(options), std::move(handlers)))
+{
+}
+
+PeerTransport::~PeerTransport()
+{
+    stop();
+}
+
+tl::expected<void, PeerTransportError> PeerTransport::start()
+{
+    auto socket = d->openListener();
+    if (!socket) {
+        return tl::unexpected(socket.error());
+    }
+    if (!d->loop.open()) {
+        return tl::unexpected(PeerTransportError { PeerTransportErrorKind::System,
+                                                   std::string("can't wait for sockets: ") + std::strerror(errno) });
+    }
+    d->address = localAddress(socket->get());
+    d->listener =
+        std::make_unique<PeerListener>(d->context, std::move(*socket), [this](const HostId &from, std::string bytes) {
+            return d->handlers.onMessage(from, std::move(bytes));
+        });
+    d->thread = Thread("peers", [this] { d->loop.run(); });
+    return {};
+}
+
+void PeerTransport::stop()
+{
+    if (!d->listener) {
+        return;
+    }
+    d->loop.post([this] { d->drainAll(); });
+    d->loop.quit();
+    d->thread.join();
+    d->links.clear();
+    d->listener.reset();
+}
+
+Address PeerTransport::listenAddress() const
+{
+    return d->address;
+}
+
+void PeerTransport::connect(const HostId &peer, const Address &address)
+{
+    d->loop.post([this, peer, address] { d->setLink(peer, address); });
+}
+
+void PeerTransport::disconnect(const HostId &peer)
+{
+    d->loop.post([this, peer] { d->links.erase(peer); });
+}
+
+bool PeerTransport::send(const HostId &peer, std::string bytes)
+{
+    if (bytes.size() > d->options.maximumMessageBytes) {
+        ++d->counters.oversize;
+        return false;
+    }
+    if (!d->outbox.push(peer, std::move(bytes))) {
+        ++d->counters.dropped;
+        return false;
+    }
+    if (!d->isDrainPosted.exchange(true)) {
+        d->loop.post([this] { d->drainAll(); });
+    }
+    return true;
+}
+
+PeerTransportCounts PeerTransport::counts() const
+{
+    const PeerCounters &now = d->counters;
+    return { now.bytesIn,  now.bytesOut, now.messagesIn, now.messagesOut, now.dropped, now.unconfirmed,
+             now.oversize, now.garbage,  now.silent,     now.connected,   now.lost,    now.refused };
+}
+
+} // namespace currantring
