--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -89,7 +89,7 @@
              })
     , directory(context, [this] { updateWorkers(); })
     , forwards(options.host, context)
-    , requests(context, charts.endpoint,
+    , requests(context, charts.endpoint, options.host,
                [this](const HostId &peer, const CallService &request, RequestRouter::ReplyHandler handler) {
                    const Milliseconds timeout = request.timeout.value_or(defaultServiceTimeout) + forwardMargin;
                    forwards.forward(peer, request, 1, timeout, [handler](const std::optional<CallerReply> &reply) {
