--- a/tests/standin/standinattempt.cpp
+++ b/tests/standin/standinattempt.cpp
@@ -37,7 +37,8 @@
 
 TimePoint StandinAttempt::endsAt() const
 {
-    return std::min(completion().value_or(TimePoint::max()), leaseEnd);
+    // A lease that was over at the start ends the attempt there, not before.
+    return std::max(countedTo, std::min(completion().value_or(TimePoint::max()), leaseEnd));
 }
 
 Resources StandinAttempt::usage() const
--- a/tests/standin/standinplatform.cpp
+++ b/tests/standin/standinplatform.cpp
@@ -151,6 +151,15 @@
     return m_truth;
 }
 
+void StandinPlatform::setAddress(const WorkerId &worker, const Address &address)
+{
+    StandinWorker *found = this->worker(worker);
+    if (found != nullptr) {
+        found->setAddress(address);
+        m_hostList.setWorker(found->info(), TimePoint());
+    }
+}
+
 StandinWorker *StandinPlatform::worker(const WorkerId &id)
 {
     const auto found = m_workers.find(id);
--- a/tests/standin/standinplatform.h
+++ b/tests/standin/standinplatform.h
@@ -86,6 +86,8 @@
     StandinStore &store();
     StandinHostList &hostList();
     StandinTruth &truth();
+    /** Sets where the worker listens, in every list ever served. Call before the first list is read. */
+    void setAddress(const WorkerId &worker, const Address &address);
     /** Null when there is no such worker. */
     StandinWorker *worker(const WorkerId &id);
     /** Calls to the key-value service and the host list by kind. */
--- a/tests/standin/standinworker.cpp
+++ b/tests/standin/standinworker.cpp
@@ -109,6 +109,11 @@
     return next;
 }
 
+void StandinWorker::setAddress(const Address &address)
+{
+    m_options.info.address = address;
+}
+
 void StandinWorker::setLeaving(bool leaving)
 {
     m_options.info.state = leaving ? WorkerState::Leaving : WorkerState::Live;
--- a/tests/standin/standinworker.h
+++ b/tests/standin/standinworker.h
@@ -64,6 +64,7 @@
     /** When the next attempt ends, lapses, or the next request is ready. */
     [[nodiscard]] std::optional<TimePoint> nextEvent() const;
 
+    void setAddress(const Address &address);
     void setLeaving(bool leaving);
     void setHealth(StandinHealth health);
     /** Adds @p delay to the time that each request takes. */
