--- a/src/libscheduler/endpointtable.cpp
+++ b/src/libscheduler/endpointtable.cpp
@@ -35,13 +35,15 @@
         update(worker);
         return;
     }
-    // A former holder of the same worker may be this host itself, with requests still running.
-    const bool isFresh = freshlyKnown && present == m_endpoints.end();
+    const TimePoint now = m_context.now();
+    const TimePoint latestEnd = now + m_limits.longestDeadline + m_limits.clockError;
+    const bool wasMine = present != m_endpoints.end() || forgetFormer(worker.id);
     auto endpoint = std::make_unique<Endpoint>(
         Endpoint { worker, fence, SlotCounter(worker.slots), EndpointHealth(m_chart), ++m_generation, {}, {}, {}, {} });
-    if (!isFresh) {
-        const TimePoint now = m_context.now();
-        endpoint->slots.markAllUnaccounted(now, now + m_limits.longestDeadline + m_limits.clockError);
+    if (!freshlyKnown || wasMine) {
+        // Another holder's requests are refused from the first command under the new fence, so any report counts. This
+        // host's own earlier ones may be on their way, and so may a report asked for before.
+        endpoint->slots.markAllUnaccounted(wasMine ? now + m_limits.clockError : now, latestEnd);
     }
     endpoint->leavingByList = worker.state == WorkerState::Leaving;
     followLeaving(*endpoint);
@@ -74,9 +76,17 @@
     }
     found->second->health.remove();
     m_endpoints.erase(found);
+    m_former[worker] = m_context.now() + m_limits.longestDeadline + m_limits.clockError;
     rebuildIndex();
 }
 
+bool EndpointTable::forgetFormer(const WorkerId &worker)
+{
+    const TimePoint now = m_context.now();
+    std::erase_if(m_former, [now](const auto &former) { return former.second <= now; });
+    return m_former.erase(worker) > 0;
+}
+
 void EndpointTable::applyReport(const WorkerReport &report)
 {
     const auto found = m_endpoints.find(report.worker);
@@ -85,8 +95,7 @@
     }
     Endpoint &endpoint = *found->second;
     const TimePoint now = m_context.now();
-    // A request given up just now may still be on its way to the worker and be missing from the report.
-    endpoint.slots.applyReport(now, m_limits.clockError, report.activeRequests);
+    endpoint.slots.applyReport(now, report.activeRequests);
     endpoint.leavingByReport = report.leaving;
     if (endpoint.leavingByRefusal && *endpoint.leavingByRefusal + m_limits.reportInterval <= now) {
         endpoint.leavingByRefusal.reset();
--- a/src/libscheduler/endpointtable.h
+++ b/src/libscheduler/endpointtable.h
@@ -85,6 +85,8 @@
 private:
     Endpoint *takeProbe(const ServiceName &service);
     Endpoint *takeLive(const ServiceName &service, const std::set<WorkerId> &tried, bool onlyUntried);
+    /** Whether requests that this host sent to @p worker before it gave it up may still run. */
+    bool forgetFormer(const WorkerId &worker);
     void followLeaving(Endpoint &endpoint);
     void rebuildIndex();
 
@@ -95,6 +97,8 @@
     std::uint64_t m_generation = 0;
     std::map<WorkerId, std::unique_ptr<Endpoint>> m_endpoints;
     std::map<ServiceName, std::vector<Endpoint *>> m_byService;
+    /** Endpoints that were given up, and when the last request sent to them has ended. */
+    std::map<WorkerId, TimePoint> m_former;
 };
 
 } // namespace currantring
--- a/src/libscheduler/requestresult.cpp
+++ b/src/libscheduler/requestresult.cpp
@@ -51,10 +51,10 @@
     const TimePoint now = context.now();
     const EndpointLimits &limits = endpoints.limits();
     if (fateOf(send.request, result) == Fate::Unknown) {
-        endpoint->slots.abandon(now, send.sentAt + send.timeout + limits.clockError);
+        endpoint->slots.abandon(now + limits.clockError, send.sentAt + send.timeout + limits.clockError);
     } else if (refusalOf(result) == RefusalReason::NoRoom) {
         // Something that isn't counted here holds the slot; as after a takeover it ends by the longest deadline.
-        endpoint->slots.abandon(now, now + limits.longestDeadline + limits.clockError);
+        endpoint->slots.abandon(now + limits.clockError, now + limits.longestDeadline + limits.clockError);
     } else {
         endpoint->slots.release();
     }
--- a/src/libscheduler/requestrouter.h
+++ b/src/libscheduler/requestrouter.h
@@ -79,7 +79,10 @@
     void updateEndpoint(const WorkerInfo &worker);
     /** This host no longer counts the slots of @p worker; requests in flight on it finish. */
     void removeEndpoint(const WorkerId &worker);
-    /** Takes in what the worker says of itself. */
+    /**
+     * Takes in what the worker says of itself. Precondition: the report answers a command under the fence of the
+     * latest addEndpoint(), so that the worker already refuses a former holder's requests.
+     */
     void handleReport(const WorkerReport &report);
 
     /** Serves a request that came from a caller at this host. @p handler runs exactly once. */
--- a/src/libscheduler/slotcounter.cpp
+++ b/src/libscheduler/slotcounter.cpp
@@ -9,9 +9,9 @@
 {
 }
 
-void SlotCounter::markAllUnaccounted(TimePoint now, TimePoint latestEnd)
+void SlotCounter::markAllUnaccounted(TimePoint reportsFrom, TimePoint latestEnd)
 {
-    m_unaccounted.assign(m_slots, Unaccounted { now, latestEnd });
+    m_unaccounted.assign(m_slots, Unaccounted { reportsFrom, latestEnd });
 }
 
 bool SlotCounter::tryTake(TimePoint now)
@@ -29,16 +29,16 @@
     m_taken -= std::min(m_taken, 1U);
 }
 
-void SlotCounter::abandon(TimePoint now, TimePoint latestEnd)
+void SlotCounter::abandon(TimePoint reportsFrom, TimePoint latestEnd)
 {
     release();
-    m_unaccounted.push_back(Unaccounted { now, latestEnd });
+    m_unaccounted.push_back(Unaccounted { reportsFrom, latestEnd });
 }
 
-void SlotCounter::applyReport(TimePoint now, Milliseconds settleTime, std::uint32_t activeRequests)
+void SlotCounter::applyReport(TimePoint now, std::uint32_t activeRequests)
 {
-    const auto isSettled = [now, settleTime](const Unaccounted &slot) {
-        return slot.since + settleTime <= now;
+    const auto isSettled = [now](const Unaccounted &slot) {
+        return slot.reportsFrom <= now;
     };
     // The soonest to end go first: the report doesn't say which ones run, and keeping the later ends is the safe side.
     std::sort(m_unaccounted.begin(), m_unaccounted.end(),
--- a/src/libscheduler/slotcounter.h
+++ b/src/libscheduler/slotcounter.h
@@ -20,20 +20,26 @@
     /** All of @p slots are free. */
     explicit SlotCounter(std::uint32_t slots);
 
-    /** Counts every slot as unaccounted until @p latestEnd at the latest. Precondition: none is taken. */
-    void markAllUnaccounted(TimePoint now, TimePoint latestEnd);
+    /**
+     * Counts every slot as unaccounted until @p latestEnd at the latest; reports before @p reportsFrom may be too old
+     * to show what runs. Precondition: none is taken.
+     */
+    void markAllUnaccounted(TimePoint reportsFrom, TimePoint latestEnd);
     /** Takes a free slot; false when there is none. */
     [[nodiscard]] bool tryTake(TimePoint now);
     /** Gives a taken slot back. Precondition: the request surely no longer runs. */
     void release();
-    /** Turns a taken slot into an unaccounted one, whose request has ended by @p latestEnd. */
-    void abandon(TimePoint now, TimePoint latestEnd);
     /**
-     * Frees unaccounted slots that a report shows free: of the slots that were unaccounted @p settleTime ago, at most
+     * Turns a taken slot into an unaccounted one, whose request has ended by @p latestEnd; it may still be on its way
+     * to the worker until @p reportsFrom.
+     */
+    void abandon(TimePoint reportsFrom, TimePoint latestEnd);
+    /**
+     * Frees unaccounted slots that a report shows free: of those for which reports count by now, at most
      * @p activeRequests can still be taken. Requests of this host aren't subtracted, because an answer on its way
      * isn't active any more, so a subtraction could free a slot that is still taken.
      */
-    void applyReport(TimePoint now, Milliseconds settleTime, std::uint32_t activeRequests);
+    void applyReport(TimePoint now, std::uint32_t activeRequests);
     /** Takes in a changed number of slots; the taken ones stay taken. */
     void resize(std::uint32_t slots);
 
@@ -47,7 +53,7 @@
 private:
     struct Unaccounted
     {
-        TimePoint since;
+        TimePoint reportsFrom;
         TimePoint latestEnd;
     };
 
