--- a/cmake/currantring.cmake
+++ b/cmake/currantring.cmake
@@ -40,6 +40,9 @@
     target_include_directories(${LIBRARY} PUBLIC ${PROJECT_SOURCE_DIR}/src/${NAME})
     target_compile_definitions(${LIBRARY} PRIVATE CURRANTRING_CHARTS="${PROJECT_SOURCE_DIR}/charts")
     target_link_libraries(${LIBRARY} PUBLIC ${ARG_LIBRARIES})
+    if(NOT EXISTS ${PROJECT_SOURCE_DIR}/src/${NAME}/main.cpp)
+        return()
+    endif()
     foreach(NEEDED ${ARG_PROGRAM_LIBRARIES})
         if(NOT TARGET ${NEEDED})
             return()
@@ -49,14 +52,18 @@
     target_link_libraries(${NAME} PRIVATE ${LIBRARY} ${ARG_PROGRAM_LIBRARIES})
 endfunction()
 
-# Defines the one test program of library NAME from tests/NAME/*.cpp.
+# Defines the one test program of NAME from tests/NAME/*.cpp; it tests the library NAME, or LIBRARY when it is given.
 function(currantring_tests NAME)
+    cmake_parse_arguments(ARG "" "LIBRARY" "" ${ARGN})
+    if(NOT ARG_LIBRARY)
+        set(ARG_LIBRARY ${NAME})
+    endif()
     file(GLOB SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${NAME}/*.cpp)
-    if(NOT SOURCES OR NOT TARGET ${NAME})
+    if(NOT SOURCES OR NOT TARGET ${ARG_LIBRARY})
         return()
     endif()
     add_executable(test-${NAME} ${SOURCES})
-    target_link_libraries(test-${NAME} PRIVATE ${NAME} Boost::unit_test_framework)
+    target_link_libraries(test-${NAME} PRIVATE ${ARG_LIBRARY} Boost::unit_test_framework)
     target_compile_definitions(test-${NAME} PRIVATE
         BOOST_TEST_DYN_LINK
         CURRANTRING_CHARTS="${PROJECT_SOURCE_DIR}/charts"
--- a/src/currantringd/limitedserver.cpp
+++ b/src/currantringd/limitedserver.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include <netinet/in.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -87,6 +88,14 @@
     return ::listen(svr_sock_, listenBacklog) == 0;
 }
 
+int LimitedServer::port() const
+{
+    sockaddr_in address {};
+    socklen_t length = sizeof address;
+    getsockname(svr_sock_, reinterpret_cast<sockaddr *>(&address), &length);
+    return ntohs(address.sin_port);
+}
+
 void LimitedServer::serve()
 {
     listen_after_bind();
--- a/src/currantringd/limitedserver.h
+++ b/src/currantringd/limitedserver.h
@@ -27,6 +27,8 @@
 
     /** Binds and starts to listen at @p address, `IP:port`; false when the port is taken or not allowed. */
     [[nodiscard]] bool listenOn(const std::string &address);
+    /** Port that listenOn took. Precondition: listenOn returned true and finish wasn't called. */
+    [[nodiscard]] int port() const;
     /** Accepts connections until finish(); returns when all have ended. */
     void serve();
     /** Takes no more connections, ends idle ones, and lets requests in flight finish. */
