Name the reason of a refusal as the node does, and take peers' sends that fail

The node's own refusals carry the member reason, so the daemon's and the tool's do too. A message that the transport surely didn't send is counted by its kind.

--- a/src/currantringctl/printing.cpp
+++ b/src/currantringctl/printing.cpp
@@ -65,10 +65,10 @@
 std::string messageOf(const HostAnswer &answer)
 {
     const nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
-    if (body.is_object() && body.contains("message")) {
-        return scalar(body["message"]);
+    if (body.is_object() && body.contains("reason")) {
+        return scalar(body["reason"]);
     }
-    if (body.is_object() && body.contains("findings")) {
+    if (body.is_object() && body.contains("findings") && body["findings"].is_array()) {
         std::string text;
         for (const nlohmann::json &finding : body["findings"]) {
             text += (text.empty() ? "" : "; ") + finding.value("place", std::string("?")) + ": "
--- a/src/currantringctl/printing.h
+++ b/src/currantringctl/printing.h
@@ -19,7 +19,7 @@
 ExitCode reportFindings(const Findings &findings);
 /** Exit code for the word of an outcome. */
 ExitCode exitCodeFor(std::string_view outcome);
-/** The message in an answer's body, or the body itself. */
+/** The reason or the findings in an answer's body, or the body itself. */
 std::string messageOf(const HostAnswer &answer);
 
 } // namespace currantring
--- a/src/currantringctl/taskcommands.cpp
+++ b/src/currantringctl/taskcommands.cpp
@@ -1,8 +1,9 @@
 #include "commands.h"
 #include "printing.h"
 
+#include <algorithm>
+#include <array>
 #include <chrono>
-#include <functional>
 #include <iostream>
 #include <thread>
 
@@ -70,14 +71,12 @@
     return body;
 }
 
+/** The final states of charts/task.scxml that a caller can see. */
 bool hasEnded(const nlohmann::json &task)
 {
-    static const std::vector<std::string> endStates { "succeeded", "failed", "cancelled", "expired", "refused" };
-    if (task.contains("ended") && task["ended"].is_boolean()) {
-        return task["ended"].get<bool>();
-    }
-    const std::string state = task.value("state", std::string());
-    return std::find(endStates.begin(), endStates.end(), state) != endStates.end();
+    constexpr std::array<std::string_view, 5> endStates { "succeeded", "failed", "cancelled", "expired",
+                                                          "unplaceable" };
+    return std::ranges::find(endStates, task.value("state", std::string())) != endStates.end();
 }
 
 } // namespace
--- a/src/currantringd/actionrunner.cpp
+++ b/src/currantringd/actionrunner.cpp
@@ -66,7 +66,9 @@
 
 void ActionRunner::carryOut(PeerSendAction &action)
 {
-    m_parts.peers.send(action.to, encodePeerMessage(action.message));
+    if (!m_parts.peers.send(action.to, encodePeerMessage(action.message))) {
+        m_parts.metrics.countReason("peer_messages_unsent", peerMessageName(action.message));
+    }
 }
 
 void ActionRunner::carryOut(PeerLinkAction &action)
--- a/src/currantringd/callerapi.cpp
+++ b/src/currantringd/callerapi.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t longestName = 200;
 constexpr std::size_t longestReason = 1000;
-constexpr std::size_t longestProgram = 200'000;
+constexpr std::size_t longestProgram = 16'384;
 constexpr std::size_t longestConfiguration = 900'000;
 constexpr std::int64_t longestTimeoutMs = 3'600'000;
 constexpr std::int64_t longestRunMs = 31LL * 24 * 3600 * 1000;
@@ -211,9 +211,9 @@
     return 500;
 }
 
-std::string outcomeBody(ReplyCode code, std::string_view message)
+std::string outcomeBody(ReplyCode code, std::string_view reason)
 {
-    return nlohmann::json { { "outcome", replyCodeName(code) }, { "message", message } }.dump();
+    return nlohmann::json { { "outcome", replyCodeName(code) }, { "reason", reason } }.dump();
 }
 
 std::string findingsBody(const Findings &findings)
--- a/src/currantringd/callerapi.h
+++ b/src/currantringd/callerapi.h
@@ -40,8 +40,8 @@
 
 /** HTTP status for the verdict. */
 int httpStatus(ReplyCode code);
-/** The body of an answer that the daemon gives by itself: outcome and message. */
-std::string outcomeBody(ReplyCode code, std::string_view message);
+/** The body of an answer that the daemon gives by itself: outcome and reason. */
+std::string outcomeBody(ReplyCode code, std::string_view reason);
 /** The body of a refusal with its findings. */
 std::string findingsBody(const Findings &findings);
 
--- a/src/currantringd/daemon.cpp
+++ b/src/currantringd/daemon.cpp
@@ -43,8 +43,9 @@
 
 } // namespace
 
-Daemon::Daemon(DaemonSettings settings, ChartSet charts, OutsideCalls calls, PeerLinks peers)
+Daemon::Daemon(DaemonSettings settings, ChartSet charts, OutsideCalls calls, const PeerLinks &peers)
     : m_settings(std::move(settings))
+    , m_peerGauges(peers.gauges)
     , m_context(makeSeed())
     , m_node(m_settings.node, std::move(charts), m_context)
     , m_loop(m_context,
@@ -53,7 +54,7 @@
                [this] {
                    m_health.set(m_node.isHealthy(), m_node.state());
                } })
-    , m_runner({ std::move(calls), countLinks(std::move(peers)), m_pools, m_replies, m_metrics,
+    , m_runner({ std::move(calls), countLinks(peers), m_pools, m_replies, m_metrics,
                  [this](Input input) {
                      m_loop.post(std::move(input));
                  } })
@@ -69,22 +70,20 @@
 {
 }
 
-PeerLinks Daemon::countLinks(PeerLinks peers)
+PeerLinks Daemon::countLinks(const PeerLinks &peers)
 {
-    return { [this, connect = std::move(peers.connect)](const HostId &peer, const Address &address) {
-                m_links.insert(peer);
-                m_linkCount = m_links.size();
-                connect(peer, address);
-            },
-             [this, disconnect = std::move(peers.disconnect)](const HostId &peer) {
-                 m_links.erase(peer);
-                 m_linkCount = m_links.size();
-                 disconnect(peer);
-             },
-             [this, send = std::move(peers.send)](const HostId &peer, std::string bytes) {
-                 m_metrics.count("peer_bytes_sent", bytes.size());
-                 send(peer, std::move(bytes));
-             } };
+    PeerLinks counted = peers;
+    counted.connect = [this, connect = peers.connect](const HostId &peer, const Address &address) {
+        m_links.insert(peer);
+        m_linkCount = m_links.size();
+        connect(peer, address);
+    };
+    counted.disconnect = [this, disconnect = peers.disconnect](const HostId &peer) {
+        m_links.erase(peer);
+        m_linkCount = m_links.size();
+        disconnect(peer);
+    };
+    return counted;
 }
 
 Findings Daemon::listen()
@@ -117,22 +116,22 @@
     m_loop.post(StopAsked {});
 }
 
-void Daemon::takePeerBytes(const HostId &from, std::string_view bytes)
+bool Daemon::takePeerBytes(const HostId &from, std::string_view bytes)
 {
-    m_metrics.count("peer_bytes_received", bytes.size());
     tl::expected<PeerMessage, PeerDecodeError> message = decodePeerMessage(bytes);
     if (!message) {
-        m_metrics.countReason("peer_messages_dropped", decodeErrorName(message.error()));
+        m_metrics.countReason("peer_messages_refused", decodeErrorName(message.error()));
         writeLog({ LogLevel::Warning,
                    "peer_message_undecodable",
                    { { "peer", from.value() },
                      { "reason", std::string(decodeErrorName(message.error())) },
                      { "bytes", std::to_string(bytes.size()) } } });
-        return;
+        return false;
     }
     if (!m_loop.offer(PeerArrived { from, std::move(*message) }, m_settings.queuedPeerMessages)) {
-        m_metrics.countReason("peer_messages_dropped", "queue-full");
+        m_metrics.countReason("peer_messages_refused", "queue-full");
     }
+    return true;
 }
 
 void Daemon::losePeer(const HostId &peer)
@@ -166,7 +165,7 @@
     const auto *arrived = std::get_if<CallerArrived>(&input);
     const CallerToken caller = arrived == nullptr ? CallerToken() : arrived->caller;
     if (!m_loop.post(std::move(input)) && arrived != nullptr) {
-        m_replies.complete(caller, { ReplyCode::NotRun, outcomeBody(ReplyCode::NotRun, "the host has stopped") });
+        m_replies.complete(caller, { ReplyCode::NotRun, outcomeBody(ReplyCode::NotRun, "host-stopped") });
     }
 }
 
@@ -174,8 +173,7 @@
 {
     for (const Input &input : m_loop.close()) {
         if (const auto *arrived = std::get_if<CallerArrived>(&input)) {
-            m_replies.complete(arrived->caller,
-                               { ReplyCode::NotRun, outcomeBody(ReplyCode::NotRun, "the host has stopped") });
+            m_replies.complete(arrived->caller, { ReplyCode::NotRun, outcomeBody(ReplyCode::NotRun, "host-stopped") });
         }
     }
 }
@@ -189,6 +187,7 @@
     m_metrics.setGauge("store_calls", static_cast<double>(m_pools.store.load()));
     m_metrics.setGauge("worker_calls", static_cast<double>(m_pools.worker.load()));
     m_metrics.setGauge("endpoint_calls", static_cast<double>(m_pools.endpoint.load()));
+    m_peerGauges(m_metrics);
     m_metrics.setGauge("healthy", m_health.isHealthy() ? 1 : 0);
 }
 
--- a/src/currantringd/daemon.h
+++ b/src/currantringd/daemon.h
@@ -22,7 +22,7 @@
 {
 public:
     /** Precondition: what @p calls and @p peers act on outlives the process. */
-    Daemon(DaemonSettings settings, ChartSet charts, OutsideCalls calls, PeerLinks peers);
+    Daemon(DaemonSettings settings, ChartSet charts, OutsideCalls calls, const PeerLinks &peers);
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
 
@@ -32,8 +32,8 @@
     void run();
     /** Begins a planned stop; repeating it does nothing. */
     void askToStop();
-    /** Takes bytes that a peer sent; what is no message is logged and dropped. */
-    void takePeerBytes(const HostId &from, std::string_view bytes);
+    /** Takes bytes that a peer sent; false when they are no message, which is logged. */
+    bool takePeerBytes(const HostId &from, std::string_view bytes);
     /** The transport lost its link to @p peer. */
     void losePeer(const HostId &peer);
 
@@ -42,10 +42,11 @@
     void postFromCaller(Input input);
     void refuseLeftCallers();
     void refreshGauges();
-    PeerLinks countLinks(PeerLinks peers);
+    PeerLinks countLinks(const PeerLinks &peers);
 
     const DaemonSettings m_settings;
     Metrics m_metrics;
+    const std::function<void(Metrics &)> m_peerGauges;
     HealthBoard m_health;
     ReplyBoard m_replies;
     Context m_context;
--- a/src/currantringd/daemonsettings.cpp
+++ b/src/currantringd/daemonsettings.cpp
@@ -78,8 +78,8 @@
     return {
         text("host-id", "", "name of this process among its peers; a new one is made when it is empty"),
         text("data-centre", "local", "data centre in which this host stands"),
-        { "store", OptionKind::AddressList, "", 0, 0, "", true,
-          "addresses of the platform's key-value service, IP:port, separated by commas" },
+        { "store", OptionKind::AddressAndPort, "", 0, 0, "", true,
+          "address of the platform's key-value service and host list, IP:port" },
         address("listen-callers", "127.0.0.1:7400", "where callers connect"),
         address("listen-operators", "127.0.0.1:7401", "where operators and currantringctl connect"),
         address("listen-peers", "127.0.0.1:7402", "where the other hosts connect; they are told this address"),
@@ -98,6 +98,7 @@
         integer("watch-calls", "", 1, 64, "4", "watches at the key-value service at once"),
         integer("worker-calls", "", 1, 1024, "32", "calls to workers at once"),
         integer("endpoint-calls", "", 1, 4096, "64", "calls to endpoints at once"),
+        integer("endpoint-connections", "", 1, 64, "8", "connections to one endpoint at once"),
         integer("waiting-calls", "", 0, 65'536, "1024", "calls of each kind that wait for their turn"),
         integer("queued-peer-messages", "", 16, 1'000'000, "10000", "messages of peers that wait to be handled"),
     };
@@ -119,14 +120,13 @@
                     DataCentreId(settings.text("data-centre")) };
     result.http = { result.node.host,     settings.text("listen-callers"),   settings.text("listen-operators"),
                     readLimits(settings), settings.duration("longest-call"), settings.duration("longest-wait") };
-    for (std::string &store : settings.list("store")) {
-        result.storeAddresses.emplace_back(std::move(store));
-    }
+    result.store = Address(settings.text("store"));
     const std::size_t waiting = size(settings, "waiting-calls");
     result.storeCalls = { size(settings, "store-calls"), waiting };
     result.watchCalls = { size(settings, "watch-calls"), waiting };
     result.workerCalls = { size(settings, "worker-calls"), waiting };
     result.endpointCalls = { size(settings, "endpoint-calls"), waiting };
+    result.endpointConnections = size(settings, "endpoint-connections");
     result.queuedPeerMessages = size(settings, "queued-peer-messages");
     result.chartsDirectory = settings.text("charts");
     const std::optional<LogLevel> level = parseLogLevel(settings.text("log-level"));
--- a/src/currantringd/daemonsettings.h
+++ b/src/currantringd/daemonsettings.h
@@ -19,11 +19,13 @@
 {
     NodeOptions node;
     HttpFront::Options http;
-    std::vector<Address> storeAddresses;
+    Address store;
     CallPool::Limits storeCalls;
     CallPool::Limits watchCalls;
     CallPool::Limits workerCalls;
     CallPool::Limits endpointCalls;
+    /** Connections to one endpoint; a worker takes 64 in all. */
+    std::size_t endpointConnections = 0;
     std::size_t queuedPeerMessages = 0;
     LogLevel logLevel = LogLevel::Info;
     std::string chartsDirectory;
--- a/src/currantringd/httpfront.cpp
+++ b/src/currantringd/httpfront.cpp
@@ -190,7 +190,7 @@
             message = "expected at most " + std::to_string(m_options.limits.bodyBytes) + " bytes of body and "
                 + std::to_string(m_options.limits.headerBytes) + " of header, saw more";
         } else if (status == 404) {
-            message = "no such path or method";
+            message = "no-such-path";
         }
         const ReplyCode code = status == 404 ? ReplyCode::NotFound : ReplyCode::Invalid;
         answer(response, code,
@@ -200,8 +200,7 @@
     });
     server.set_exception_handler(
         [](const httplib::Request & /*request*/, httplib::Response &response, const std::exception_ptr & /*error*/) {
-            answer(response, ReplyCode::OutcomeUnknown,
-                   outcomeBody(ReplyCode::OutcomeUnknown, "the host failed while it served the request"),
+            answer(response, ReplyCode::OutcomeUnknown, outcomeBody(ReplyCode::OutcomeUnknown, "host-failed"),
                    "application/json");
         });
 }
@@ -256,7 +255,7 @@
     m_parts.post(CallerGone { caller->token() });
     m_parts.metrics.countReason("callers_gone", end == ReplyBoard::End::HungUp ? "hung-up" : "timed-out");
     const ReplyCode code = isCall ? ReplyCode::OutcomeUnknown : ReplyCode::NotYetKnown;
-    answer(response, code, outcomeBody(code, "no answer came in time"), "application/json");
+    answer(response, code, outcomeBody(code, "no-answer-in-time"), "application/json");
 }
 
 } // namespace currantring
--- a/src/currantringd/limitedserver.cpp
+++ b/src/currantringd/limitedserver.cpp
@@ -24,7 +24,7 @@
 /** Tells the caller that nothing was run, without ever waiting for it. */
 void turnAway(int socket)
 {
-    static const std::string body = R"({"outcome":"not-run","message":"the connection limit is reached"})";
+    static const std::string body = R"({"outcome":"not-run","reason":"connection-limit"})";
     static const std::string answer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
                                       "Currantring-Outcome: not-run\r\nContent-Type: application/json\r\n"
                                       "Content-Length: "
--- a/src/currantringd/outsidecalls.h
+++ b/src/currantringd/outsidecalls.h
@@ -2,6 +2,7 @@
 
 #include "callpool.h"
 #include "context.h"
+#include "metrics.h"
 
 #include <functional>
 
@@ -15,12 +16,15 @@
     std::function<EndpointResult(const EndpointRequest &)> endpoint;
 };
 
-/** The transport between the hosts; all may be called from the loop thread. */
+/** The transport between the hosts; all may be called from any thread. */
 struct PeerLinks
 {
     std::function<void(const HostId &, const Address &)> connect;
     std::function<void(const HostId &)> disconnect;
-    std::function<void(const HostId &, std::string)> send;
+    /** False when the message surely isn't sent. */
+    std::function<bool(const HostId &, std::string)> send;
+    /** Sets what the transport counts. */
+    std::function<void(Metrics &)> gauges;
 };
 
 /** One bounded pool for each kind of outside call, so that none waits behind another kind. */
