--- a/src/currantringd/limitedserver.cpp
+++ b/src/currantringd/limitedserver.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include <netinet/in.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -23,7 +24,7 @@
 /** Tells the caller that nothing was run, without ever waiting for it. */
 void turnAway(int socket)
 {
-    static const std::string body = R"({"outcome":"not-run","message":"the connection limit is reached"})";
+    static const std::string body = R"({"outcome":"not-run","reason":"connection-limit"})";
     static const std::string answer = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
                                       "Currantring-Outcome: not-run\r\nContent-Type: application/json\r\n"
                                       "Content-Length: "
@@ -87,6 +88,14 @@
     return ::listen(svr_sock_, listenBacklog) == 0;
 }
 
+int LimitedServer::port() const
+{
+    sockaddr_in address {};
+    socklen_t length = sizeof address;
+    getsockname(svr_sock_, reinterpret_cast<sockaddr *>(&address), &length);
+    return ntohs(address.sin_port);
+}
+
 void LimitedServer::serve()
 {
     listen_after_bind();
