--- a/src/libscheduler/ledgerrecord.cpp
+++ b/src/libscheduler/ledgerrecord.cpp
@@ -224,14 +224,14 @@
 std::string encodeSlot(const LedgerSlot &slot)
 {
     nlohmann::json records = nlohmann::json::array();
-    for (const LedgerRecord &record : slot.records) {
-        records.push_back(encodeRecord(record));
+    for (const TimedRecord &timed : slot.records) {
+        nlohmann::json record = encodeRecord(timed.record);
+        record["at"] = timed.at;
+        records.push_back(std::move(record));
     }
-    const nlohmann::json json = { { "slot", slot.number },
-                                  { "epoch", slot.epoch },
-                                  { "writer", slot.writer },
-                                  { "at", slot.at },
-                                  { "records", std::move(records) } };
+    const nlohmann::json json = {
+        { "slot", slot.number }, { "epoch", slot.epoch }, { "writer", slot.writer }, { "records", std::move(records) }
+    };
     return json.dump();
 }
 
@@ -239,13 +239,11 @@
 {
     try {
         const nlohmann::json json = nlohmann::json::parse(text);
-        LedgerSlot slot { json.at("slot").get<SlotNumber>(),
-                          json.at("epoch").get<Epoch>(),
-                          json.at("writer").get<HostId>(),
-                          json.at("at").get<WallTime>(),
-                          {} };
+        LedgerSlot slot {
+            json.at("slot").get<SlotNumber>(), json.at("epoch").get<Epoch>(), json.at("writer").get<HostId>(), {}
+        };
         for (const nlohmann::json &record : json.at("records")) {
-            slot.records.push_back(decodeAnyRecord(record));
+            slot.records.push_back(TimedRecord { record.at("at").get<WallTime>(), decodeAnyRecord(record) });
         }
         return slot;
     } catch (const nlohmann::json::exception &) {
--- a/src/libscheduler/ledgerrecord.h
+++ b/src/libscheduler/ledgerrecord.h
@@ -131,16 +131,21 @@
 /** Nullopt when @p json is no record. Thread safety: reentrant. */
 std::optional<LedgerRecord> decodeRecord(const nlohmann::json &json);
 
+/** A record and when it was made, by the writer's wall clock; for people, never for decisions of safety. */
+struct TimedRecord
+{
+    WallTime at;
+    LedgerRecord record;
+};
+
 /** One slot of a shard's log: a group of records committed together. */
 struct LedgerSlot
 {
     SlotNumber number;
     Epoch epoch;
     HostId writer;
-    /** Wall clock of the writer; for people, never for decisions of safety. */
-    WallTime at;
     /** Empty in the slot by which a writer claims the shard. */
-    std::vector<LedgerRecord> records;
+    std::vector<TimedRecord> records;
 };
 
 /** The slot as stored. Thread safety: reentrant. */
--- a/src/libscheduler/membership.cpp
+++ b/src/libscheduler/membership.cpp
@@ -70,6 +70,7 @@
     void readList();
     void takeList(const std::vector<StoreEntry> &entries);
     void beginSettling();
+    [[nodiscard]] bool isSettled() const;
     Peer &addPeer(const HostId &host, const Address &peerAddress);
 
     HostId self;
@@ -125,6 +126,11 @@
     }
 }
 
+bool Membership::Private::isSettled() const
+{
+    return settlingSince && context.now() - *settlingSince >= heartbeatInterval * settlingHeartbeats;
+}
+
 void Membership::Private::beat()
 {
     dropGone();
@@ -190,10 +196,14 @@
         if (result) {
             listBackoff.reset();
             takeList(result->entries);
-            beginSettling();
+            // Before this host is listed itself, hosts that start with it may not be listed either.
+            if (listed.contains(self)) {
+                beginSettling();
+            }
         }
         if (!left) {
-            const Milliseconds delay = result ? listInterval : listBackoff.next(context.random());
+            const Milliseconds interval = isSettled() ? listInterval : heartbeatInterval;
+            const Milliseconds delay = result ? interval : listBackoff.next(context.random());
             listTimer = context.schedule(delay, [this] { readList(); });
         }
     });
@@ -305,7 +315,7 @@
 
 bool Membership::isSettled() const
 {
-    return d->settlingSince && d->context.now() - *d->settlingSince >= d->heartbeatInterval * settlingHeartbeats;
+    return d->isSettled();
 }
 
 std::optional<HostId> Membership::preferredWriter(ShardId shard) const
--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -35,7 +35,7 @@
 
     // Life cycle.
     void send(std::string_view event);
-    void applyConfiguration(const Configuration &newConfiguration, const ConfigurationRecord &record);
+    void applyConfiguration(const Configuration &newConfiguration);
     void readShardCount();
     void handleShardCount(const StoreResult &result);
     void beat();
@@ -84,8 +84,8 @@
     , state(charts.daemon.initial())
     , membership(options.host, options.peerAddress, context, [this] { return makeHeartbeat(); })
     , keeper(context,
-             [this](const Configuration &newConfiguration, const ConfigurationRecord &record) {
-                 applyConfiguration(newConfiguration, record);
+             [this](const Configuration &newConfiguration, const ConfigurationRecord &) {
+                 applyConfiguration(newConfiguration);
              })
     , directory(context, [this] { updateWorkers(); })
     , forwards(options.host, context)
@@ -132,13 +132,8 @@
     return heartbeat;
 }
 
-void Node::Private::applyConfiguration(const Configuration &newConfiguration, const ConfigurationRecord &record)
+void Node::Private::applyConfiguration(const Configuration &newConfiguration)
 {
-    context.log(LogLevel::Info, "configuration_in_force",
-                { { "host", options.host.value() },
-                  { "version", std::to_string(record.version.value()) },
-                  { "change", record.change.value() },
-                  { "author", record.author } });
     configuration = newConfiguration;
     membership.setConfiguration(configuration);
     directory.setConfiguration(configuration);
--- a/src/libscheduler/shardlog.cpp
+++ b/src/libscheduler/shardlog.cpp
@@ -132,9 +132,9 @@
         if (number != m_nextSlot) {
             return false;
         }
-        for (const LedgerRecord &record : slot.records) {
-            const RecordOrigin from { m_shard, number, slot.epoch, slot.writer, slot.at };
-            static_cast<void>(m_ledger.apply(record, from));
+        for (const TimedRecord &timed : slot.records) {
+            const RecordOrigin from { m_shard, number, slot.epoch, slot.writer, timed.at };
+            static_cast<void>(m_ledger.apply(timed.record, from));
         }
         m_epoch = std::max(m_epoch, slot.epoch);
         m_nextSlot = SlotNumber(number.value() + 1);
@@ -146,7 +146,7 @@
 {
     m_state = State::Claiming;
     m_epoch = Epoch(m_epoch.value() + 1);
-    m_inFlight = LedgerSlot { m_nextSlot, m_epoch, m_self, m_context.wallNow(), {} };
+    m_inFlight = LedgerSlot { m_nextSlot, m_epoch, m_self, {} };
     m_inFlightText = encodeSlot(*m_inFlight);
     m_firstSentAt = m_context.now();
     putSlot();
@@ -158,7 +158,7 @@
     if (const auto applied = m_ledger.apply(record, origin(target)); !applied) {
         return applied;
     }
-    m_pending.push_back(Pending { record, std::move(then) });
+    m_pending.push_back(Pending { TimedRecord { m_context.wallNow(), record }, std::move(then) });
     m_pendingUrgent = m_pendingUrgent || urgent;
     scheduleGroup();
     return {};
@@ -189,9 +189,9 @@
         m_context.schedule(longestBackoff, m_lifetime.guard([this] { closeGroup(); }));
         return;
     }
-    m_inFlight = LedgerSlot { m_nextSlot, m_epoch, m_self, m_context.wallNow(), {} };
+    m_inFlight = LedgerSlot { m_nextSlot, m_epoch, m_self, {} };
     for (Pending &pending : m_pending) {
-        m_inFlight->records.push_back(std::move(pending.record));
+        m_inFlight->records.push_back(std::move(pending.timed));
         m_inFlightHandlers.push_back(std::move(pending.then));
     }
     m_pending.clear();
--- a/src/libscheduler/shardlog.h
+++ b/src/libscheduler/shardlog.h
@@ -93,7 +93,7 @@
 private:
     struct Pending
     {
-        LedgerRecord record;
+        TimedRecord timed;
         CommitHandler then;
     };
 
