--- a/src/libpeer/peerconnection.cpp
+++ b/src/libpeer/peerconnection.cpp
@@ -191,6 +191,7 @@
         return;
     }
     const auto self = shared_from_this();
+    m_context.counters.silent += end == PeerConnectionEnd::Silent ? 1 : 0;
     release();
     m_handlers.onEnd(end, detail);
 }
--- a/src/libpeer/peerlink.cpp
+++ b/src/libpeer/peerlink.cpp
@@ -20,12 +20,13 @@
 } // namespace
 
 PeerLink::PeerLink(PeerConnectionContext context, PeerOutbox &outbox, Random &random, HostId peer, Address address,
-                   LostHandler onLost)
+                   PeerHandler onConnected, PeerHandler onLost)
     : m_context(context)
     , m_outbox(outbox)
     , m_random(random)
     , m_peer(std::move(peer))
     , m_address(std::move(address))
+    , m_onConnected(std::move(onConnected))
     , m_onLost(std::move(onLost))
     , m_state(context.options.peerLink.initial())
     , m_backoff(context.options.firstBackoff, context.options.longestBackoff)
@@ -103,6 +104,7 @@
         m_outbox.open(m_peer);
         writeLog(
             { LogLevel::Info, "peer_connected", { { "peer", m_peer.value() }, { "address", m_address.value() } } });
+        m_onConnected(m_peer);
     }
 }
 
--- a/src/libpeer/peerlink.h
+++ b/src/libpeer/peerlink.h
@@ -19,12 +19,12 @@
 class PeerLink
 {
 public:
-    using LostHandler = std::function<void(const HostId &peer)>;
+    using PeerHandler = std::function<void(const HostId &peer)>;
 
     /** Precondition: what @p context refers to, @p outbox and @p random outlive the link. */
     PeerLink(PeerConnectionContext context, PeerOutbox &outbox, Random &random, HostId peer, Address address,
-             LostHandler onLost);
-    /** Closes the link; @p onLost doesn't run. */
+             PeerHandler onConnected, PeerHandler onLost);
+    /** Closes the link; onLost doesn't run. */
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
@@ -47,7 +47,8 @@
     Random &m_random;
     HostId m_peer;
     Address m_address;
-    LostHandler m_onLost;
+    PeerHandler m_onConnected;
+    PeerHandler m_onLost;
     std::string m_state;
     bool m_isClosing = false;
     Backoff m_backoff;
--- a/src/libpeer/peertransport.cpp
+++ b/src/libpeer/peertransport.cpp
@@ -69,7 +69,12 @@
         return;
     }
     link.reset();
-    link = std::make_unique<PeerLink>(context, outbox, random, peer, peerAddress,
+    const auto onConnected = [this](const HostId &connected) {
+        if (handlers.onLinkConnected) {
+            handlers.onLinkConnected(connected);
+        }
+    };
+    link = std::make_unique<PeerLink>(context, outbox, random, peer, peerAddress, onConnected,
                                       [this](const HostId &lost) { handlers.onLinkLost(lost); });
     link->connect();
 }
--- a/src/libpeer/peertransport.h
+++ b/src/libpeer/peertransport.h
@@ -37,13 +37,15 @@
     std::uint64_t seed = 0;
 };
 
-/** What a PeerTransport reports; both run on its thread, must not block and must not throw. */
+/** What a PeerTransport reports; all run on its thread, must not block and must not throw. */
 struct PeerTransportHandlers
 {
     /** Takes a message; false when the bytes are none, which resets the stream they came on. */
     std::function<bool(const HostId &from, std::string bytes)> onMessage;
     /** A connected link was lost; messages in flight may or may not have arrived. It is connected again by itself. */
     std::function<void(const HostId &peer)> onLinkLost;
+    /** A link reached its peer and takes messages; may be left empty. */
+    std::function<void(const HostId &peer)> onLinkConnected = {};
 };
 
 /** Why a PeerTransport can't start. */
