Mend what the linter found in the request path

Cause: clang-tidy on the changed files named a needless copy, a widening product, a copied reply and the member d. Ruled out: leaving the member's name to an exception in .clang-tidy; configurationkeeper.h already says m_d. Change: those four; no behaviour. Conclusion: the linter's rules hold here too.

--- a/src/libscheduler/requestdispatch.cpp
+++ b/src/libscheduler/requestdispatch.cpp
@@ -151,8 +151,7 @@
     // Less time for the peer, so that its truthful "not run" is here before this host can only say "unknown".
     const Milliseconds remaining = flight.deadline - context.now();
     outgoing.timeout = remaining - std::min(remaining / 10, longestReplyMargin);
-    const HostId target = peer;
-    forwarder(target, outgoing,
+    forwarder(peer, outgoing,
               guarded([this, number, send](const CallerReply &reply) { handlePeerReply(number, send, reply); }));
 }
 
--- a/src/libscheduler/requestrecord.h
+++ b/src/libscheduler/requestrecord.h
@@ -30,7 +30,7 @@
     /** Requests remembered at once; at 100 bytes each some 20 MB. */
     static constexpr std::size_t maximumCount = 200000;
     /** Bytes of answers remembered at once. */
-    static constexpr std::size_t maximumBytes = 64U * 1024U * 1024U;
+    static constexpr std::size_t maximumBytes = std::size_t { 64 } << 20U;
 
     /** Remembers @p reply until @p until. Precondition: @p until doesn't go back between calls. */
     void remember(TimePoint now, RequestKey key, CallerReply reply, TimePoint until);
--- a/src/libscheduler/requestrouter.cpp
+++ b/src/libscheduler/requestrouter.cpp
@@ -126,9 +126,9 @@
 {
     // The first copy may still run after this caller's deadline, so all that can be said then is "unknown".
     const auto shared = std::make_shared<ReplyHandler>(std::move(handler));
-    const auto answerOnce = [shared](CallerReply reply) {
+    const auto answerOnce = [shared](const CallerReply &reply) {
         if (const ReplyHandler once = std::exchange(*shared, nullptr)) {
-            once(std::move(reply));
+            once(reply);
         }
     };
     const TimerId timer = context.schedule(
@@ -249,7 +249,7 @@
 }
 
 RequestRouter::RequestRouter(Context &context, const Chart &endpointChart, HostId self, Forwarder forwarder)
-    : d(std::make_unique<Private>(context, endpointChart, std::move(self), std::move(forwarder)))
+    : m_d(std::make_unique<Private>(context, endpointChart, std::move(self), std::move(forwarder)))
 {
 }
 
@@ -257,83 +257,83 @@
 
 void RequestRouter::setConfiguration(const Configuration &configuration)
 {
-    d->applyConfiguration(configuration);
-    d->pump();
+    m_d->applyConfiguration(configuration);
+    m_d->pump();
 }
 
 void RequestRouter::setPeerRooms(std::vector<PeerRoom> rooms)
 {
-    const TimePoint now = d->context.now();
-    if (!d->isPeerViewFresh()) {
-        d->homes.forgetHistory(now);
+    const TimePoint now = m_d->context.now();
+    if (!m_d->isPeerViewFresh()) {
+        m_d->homes.forgetHistory(now);
     }
-    d->peersHeardAt = now;
-    d->peerRooms = std::move(rooms);
-    d->followHosts(false);
+    m_d->peersHeardAt = now;
+    m_d->peerRooms = std::move(rooms);
+    m_d->followHosts(false);
 }
 
 void RequestRouter::addEndpoint(const WorkerInfo &worker, CommandFence fence, bool freshlyKnown)
 {
-    d->endpoints.add(worker, fence, freshlyKnown);
+    m_d->endpoints.add(worker, fence, freshlyKnown);
     if (!freshlyKnown) {
-        d->homes.distrustFresh(d->context.now(), worker.services);
+        m_d->homes.distrustFresh(m_d->context.now(), worker.services);
     }
-    d->followHosts(freshlyKnown);
-    d->pump();
+    m_d->followHosts(freshlyKnown);
+    m_d->pump();
 }
 
 void RequestRouter::updateEndpoint(const WorkerInfo &worker)
 {
-    d->endpoints.update(worker);
-    d->followHosts(false);
-    d->pump();
+    m_d->endpoints.update(worker);
+    m_d->followHosts(false);
+    m_d->pump();
 }
 
 void RequestRouter::removeEndpoint(const WorkerId &worker)
 {
-    d->endpoints.remove(worker);
-    d->followHosts(false);
-    d->pump();
+    m_d->endpoints.remove(worker);
+    m_d->followHosts(false);
+    m_d->pump();
 }
 
 void RequestRouter::handleReport(const WorkerReport &report)
 {
-    d->endpoints.applyReport(report);
-    d->followHosts(false);
-    d->pump();
+    m_d->endpoints.applyReport(report);
+    m_d->followHosts(false);
+    m_d->pump();
 }
 
 void RequestRouter::handleCall(const CallService &request, ReplyHandler handler)
 {
-    d->handle(request, true, std::move(handler));
+    m_d->handle(request, true, std::move(handler));
 }
 
 void RequestRouter::handleForwarded(const CallService &request, ReplyHandler handler)
 {
-    d->handle(request, false, std::move(handler));
+    m_d->handle(request, false, std::move(handler));
 }
 
 void RequestRouter::beginDrain()
 {
-    d->draining = true;
-    d->followHosts(false);
+    m_d->draining = true;
+    m_d->followHosts(false);
 }
 
 std::size_t RequestRouter::inFlight() const
 {
-    return d->flights.size();
+    return m_d->flights.size();
 }
 
 std::vector<ServiceRoom> RequestRouter::rooms() const
 {
     std::vector<ServiceRoom> rooms;
-    if (d->draining) {
+    if (m_d->draining) {
         return rooms;
     }
-    for (const ServiceName &service : d->endpoints.services()) {
-        if (d->endpoints.serves(service)) {
-            const auto queued = static_cast<std::uint32_t>(d->queueOf(service).size());
-            rooms.push_back(ServiceRoom { service, d->endpoints.freeSlotsFor(service), queued });
+    for (const ServiceName &service : m_d->endpoints.services()) {
+        if (m_d->endpoints.serves(service)) {
+            const auto queued = static_cast<std::uint32_t>(m_d->queueOf(service).size());
+            rooms.push_back(ServiceRoom { service, m_d->endpoints.freeSlotsFor(service), queued });
         }
     }
     return rooms;
