--- a/src/currantringd/actionrunner.h
+++ b/src/currantringd/actionrunner.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "eventloop.h"
+#include "decisionloop.h"
 #include "metrics.h"
 #include "outsidecalls.h"
 #include "replyboard.h"
--- a/src/currantringd/daemon.h
+++ b/src/currantringd/daemon.h
@@ -3,7 +3,7 @@
 #include "actionrunner.h"
 #include "chart.h"
 #include "daemonsettings.h"
-#include "eventloop.h"
+#include "decisionloop.h"
 #include "httpfront.h"
 #include "node.h"
 
@@ -14,7 +14,7 @@
 namespace currantring {
 
 /**
- * One currantringd: the event loop with the Node, the pools for outside calls and the HTTP listeners.
+ * One currantringd: the decision loop with the Node, the pools for outside calls and the HTTP listeners.
  *
  * Thread safety: askToStop, takePeerBytes and losePeer from any thread, the rest from the owning thread.
  */
@@ -51,7 +51,7 @@
     ReplyBoard m_replies;
     Context m_context;
     Node m_node;
-    EventLoop m_loop;
+    DecisionLoop m_loop;
     /** Peers towards which the decision code wants a link. Loop thread only. */
     std::set<HostId> m_links;
     std::atomic<std::size_t> m_linkCount = 0;
--- a/src/currantringd/eventloop.cpp
+++ b/src/currantringd/decisionloop.cpp
@@ -1,4 +1,4 @@
-#include "eventloop.h"
+#include "decisionloop.h"
 
 #include <algorithm>
 #include <limits>
@@ -20,18 +20,18 @@
              WallTime(std::chrono::duration_cast<Milliseconds>(wall).count()) };
 }
 
-EventLoop::EventLoop(Context &context, Hooks hooks)
+DecisionLoop::DecisionLoop(Context &context, Hooks hooks)
     : m_context(context)
     , m_hooks(std::move(hooks))
 {
 }
 
-bool EventLoop::post(Input input)
+bool DecisionLoop::post(Input input)
 {
     return offer(std::move(input), std::numeric_limits<std::size_t>::max());
 }
 
-bool EventLoop::offer(Input input, std::size_t bound)
+bool DecisionLoop::offer(Input input, std::size_t bound)
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -44,7 +44,7 @@
     return true;
 }
 
-std::deque<Input> EventLoop::takeInputs(Milliseconds longest)
+std::deque<Input> DecisionLoop::takeInputs(Milliseconds longest)
 {
     Milliseconds wait = longest;
     if (const std::optional<TimePoint> timer = m_context.nextTimer()) {
@@ -55,13 +55,13 @@
     return std::exchange(m_inputs, {});
 }
 
-void EventLoop::advance()
+void DecisionLoop::advance()
 {
     const ClockReading reading = m_hooks.clock();
     m_context.advance(reading.now, reading.wallNow);
 }
 
-void EventLoop::carryOutActions()
+void DecisionLoop::carryOutActions()
 {
     for (Action &action : m_context.takeActions()) {
         m_exiting = m_exiting || std::holds_alternative<ExitAction>(action);
@@ -69,7 +69,7 @@
     }
 }
 
-bool EventLoop::turn(Milliseconds longest)
+bool DecisionLoop::turn(Milliseconds longest)
 {
     // What was decided outside of a turn, such as at the start, isn't left waiting.
     carryOutActions();
@@ -84,12 +84,12 @@
     return !m_exiting;
 }
 
-void EventLoop::run()
+void DecisionLoop::run()
 {
     while (turn(longestTurn)) { }
 }
 
-std::deque<Input> EventLoop::close()
+std::deque<Input> DecisionLoop::close()
 {
     const std::lock_guard lock(m_mutex);
     m_closed = true;
--- a/src/currantringd/eventloop.h
+++ b/src/currantringd/decisionloop.h
@@ -81,7 +81,7 @@
  *
  * Thread safety: post and offer from any thread; turn and run from the one loop thread.
  */
-class EventLoop
+class DecisionLoop
 {
 public:
     /** What the loop calls, always in the loop thread. */
@@ -95,7 +95,7 @@
     };
 
     /** Precondition: @p context outlives the loop, and all hooks are set. */
-    EventLoop(Context &context, Hooks hooks);
+    DecisionLoop(Context &context, Hooks hooks);
 
     /** Adds an input that must not be lost; false when the loop is closed. */
     bool post(Input input);
--- a/src/currantringd/httpfront.cpp
+++ b/src/currantringd/httpfront.cpp
@@ -243,7 +243,7 @@
     const bool isCall = std::holds_alternative<CallService>(*request);
     const Milliseconds limit = waitFor(*request);
     const SocketStream *stream = LimitedServer::currentStream();
-    const std::shared_ptr<WaitingCaller> caller = m_parts.replies.open();
+    const std::shared_ptr<CallerPlace> caller = m_parts.replies.open();
     m_parts.post(CallerArrived { caller->token(), std::move(*request) });
     CallerReply reply;
     const ReplyBoard::End end = m_parts.replies.wait(*caller, stream == nullptr ? -1 : stream->socket(), limit, reply);
--- a/src/currantringd/httpfront.h
+++ b/src/currantringd/httpfront.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "callerapi.h"
-#include "eventloop.h"
+#include "decisionloop.h"
 #include "limitedserver.h"
 #include "metrics.h"
 #include "replyboard.h"
--- a/src/currantringd/replyboard.cpp
+++ b/src/currantringd/replyboard.cpp
@@ -35,33 +35,33 @@
 
 } // namespace
 
-WaitingCaller::WaitingCaller(CallerToken token)
+CallerPlace::CallerPlace(CallerToken token)
     : m_token(token)
     , m_event(eventfd(0, EFD_CLOEXEC))
 {
 }
 
-WaitingCaller::~WaitingCaller()
+CallerPlace::~CallerPlace()
 {
     close(m_event);
 }
 
-CallerToken WaitingCaller::token() const
+CallerToken CallerPlace::token() const
 {
     return m_token;
 }
 
-std::shared_ptr<WaitingCaller> ReplyBoard::open()
+std::shared_ptr<CallerPlace> ReplyBoard::open()
 {
     const std::lock_guard lock(m_mutex);
-    auto caller = std::make_shared<WaitingCaller>(CallerToken(++m_lastToken));
+    auto caller = std::make_shared<CallerPlace>(CallerToken(++m_lastToken));
     m_callers.emplace(caller->token(), caller);
     return caller;
 }
 
 bool ReplyBoard::complete(CallerToken caller, CallerReply reply)
 {
-    std::shared_ptr<WaitingCaller> waiting;
+    std::shared_ptr<CallerPlace> waiting;
     {
         const std::lock_guard lock(m_mutex);
         const auto found = m_callers.find(caller);
@@ -77,7 +77,7 @@
     return true;
 }
 
-ReplyBoard::End ReplyBoard::wait(WaitingCaller &caller, int socket, Milliseconds limit, CallerReply &reply)
+ReplyBoard::End ReplyBoard::wait(CallerPlace &caller, int socket, Milliseconds limit, CallerReply &reply)
 {
     const Wake wake = waitForEither(caller.m_event, socket, limit);
     {
--- a/src/currantringd/replyboard.h
+++ b/src/currantringd/replyboard.h
@@ -10,13 +10,13 @@
 namespace currantring {
 
 /** A caller's place to wait for its reply. */
-class WaitingCaller
+class CallerPlace
 {
 public:
-    explicit WaitingCaller(CallerToken token);
-    ~WaitingCaller();
-    WaitingCaller(const WaitingCaller &) = delete;
-    WaitingCaller &operator=(const WaitingCaller &) = delete;
+    explicit CallerPlace(CallerToken token);
+    ~CallerPlace();
+    CallerPlace(const CallerPlace &) = delete;
+    CallerPlace &operator=(const CallerPlace &) = delete;
 
     [[nodiscard]] CallerToken token() const;
 
@@ -31,7 +31,7 @@
 };
 
 /**
- * Brings replies from the event loop to the threads in which callers wait.
+ * Brings replies from the decision loop to the threads in which callers wait.
  *
  * Thread safety: every method may be called from any thread.
  */
@@ -41,21 +41,21 @@
     enum class End { Replied, TimedOut, HungUp };
 
     /** Opens a place under a token that is not used again. */
-    [[nodiscard]] std::shared_ptr<WaitingCaller> open();
+    [[nodiscard]] std::shared_ptr<CallerPlace> open();
     /** Hands over a reply; false when nobody waits for it any longer. */
     bool complete(CallerToken caller, CallerReply reply);
     /**
      * Waits for the reply, at most @p limit, or until the caller closes @p socket (-1 for none). The place is
      * closed afterwards. @p reply is set when the result is Replied.
      */
-    [[nodiscard]] End wait(WaitingCaller &caller, int socket, Milliseconds limit, CallerReply &reply);
+    [[nodiscard]] End wait(CallerPlace &caller, int socket, Milliseconds limit, CallerReply &reply);
     /** Callers that wait. */
     [[nodiscard]] std::size_t size() const;
 
 private:
     mutable std::mutex m_mutex;
     std::uint64_t m_lastToken = 0;
-    std::map<CallerToken, std::shared_ptr<WaitingCaller>> m_callers;
+    std::map<CallerToken, std::shared_ptr<CallerPlace>> m_callers;
 };
 
 } // namespace currantring
--- a/tests/currantringd/testeventloop.cpp
+++ b/tests/currantringd/testdecisionloop.cpp
@@ -1,4 +1,4 @@
-#include "eventloop.h"
+#include "decisionloop.h"
 #include "thread.h"
 
 #include <boost/test/unit_test.hpp>
@@ -18,28 +18,28 @@
     Milliseconds now { 0 };
     std::string notes;
     std::function<void(Input &)> onInput;
-    EventLoop loop { context,
-                     { [this] {
-                          return ClockReading { TimePoint(now), WallTime(now.count()) };
-                      },
-                       [this](Input &input) {
-                           if (onInput) {
-                               onInput(input);
-                           }
-                       },
-                       [this](Action &action) {
-                           if (const auto *count = std::get_if<CountAction>(&action)) {
-                               notes += count->name;
-                           }
-                       },
-                       [this] {
-                           notes += '.';
-                       } } };
+    DecisionLoop loop { context,
+                        { [this] {
+                             return ClockReading { TimePoint(now), WallTime(now.count()) };
+                         },
+                          [this](Input &input) {
+                              if (onInput) {
+                                  onInput(input);
+                              }
+                          },
+                          [this](Action &action) {
+                              if (const auto *count = std::get_if<CountAction>(&action)) {
+                                  notes += count->name;
+                              }
+                          },
+                          [this] {
+                              notes += '.';
+                          } } };
 };
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(EventLoops)
+BOOST_AUTO_TEST_SUITE(DecisionLoops)
 
 BOOST_AUTO_TEST_CASE(inputsAreHandledInOrderAndTheirActionsBeforeTheNextInput)
 {
