Iterate over a copy of the active tasks while moves are sent

Cause: a move that is adopted by a shard of the same host is confirmed at once, which changed the set under the loop. Ruled out: lifetimes of dropped shards; the trace stands in ShardScheduler::sendMoves. Change: the set is copied. Conclusion: loops over ledger indexes must not call out.

--- a/src/libscheduler/shardscheduler.cpp
+++ b/src/libscheduler/shardscheduler.cpp
@@ -157,7 +157,9 @@
 
 void ShardScheduler::sendMoves()
 {
-    for (const TaskId &id : m_log.ledger().activeTasks()) {
+    // Sending may settle a move at once, which changes the set of active tasks.
+    const std::set<TaskId> active = m_log.ledger().activeTasks();
+    for (const TaskId &id : active) {
         const TaskState *task = m_log.ledger().find(id);
         if (task->state != "moving") {
             m_nextMoveSend.erase(id);
