Move an evicted task to another shard before it may return to its former worker

Cause: the quick start's watcher came back to the worker it was evicted from; its shard has just that worker, and the return became possible in the same round as the move to another shard. Ruled out: the checkpoint (it was recorded) and the move itself (the random schedules use it). Change: the move is tried first, the former worker only after three seconds.

--- a/src/libscheduler/taskqueue.cpp
+++ b/src/libscheduler/taskqueue.cpp
@@ -10,6 +10,8 @@
 constexpr Milliseconds unplaceableAfter(5000);
 /** Least stay of a task in a shard's queue before it is moved on. */
 constexpr Milliseconds leastStay(1000);
+/** Stay after which a task may go back to the worker that it came from. */
+constexpr Milliseconds formerWorkerAfter(3000);
 
 /** Orders urgent work first, then by deadline; watchers have none and come after work that has. */
 bool comesBefore(const TaskState *left, const TaskState *right)
@@ -78,7 +80,7 @@
         place(task, fitting.at(m_policy.choose(task.spec.declared, fitting, m_core.context.random())).worker);
         return;
     }
-    if (moveElsewhere(task) || endIfUnplaceable(task)) {
+    if (moveElsewhere(task) || returnToFormer(task) || endIfUnplaceable(task)) {
         return;
     }
     if (!m_reasons.contains(task.id)) {
@@ -115,26 +117,29 @@
 std::vector<PlacementCandidate> TaskQueue::candidates(const TaskState &task) const
 {
     std::vector<PlacementCandidate> fitting;
-    std::optional<PlacementCandidate> former;
     for (const auto &[id, worker] : m_core.workers) {
         const Resources free = m_core.freeOn(worker);
-        if (!m_core.isUsable(worker) || !free.covers(task.spec.declared)) {
-            continue;
+        const bool fits = m_core.isUsable(worker) && free.covers(task.spec.declared);
+        // The worker that it was evicted from, or failed on, is the last resort.
+        if (fits && id != task.lastWorker) {
+            fitting.push_back({ id, worker.info.capacity, free, m_core.log.ledger().attemptsOn(id).size() });
         }
-        PlacementCandidate candidate { id, worker.info.capacity, free, m_core.log.ledger().attemptsOn(id).size() };
-        if (id == task.lastWorker) {
-            former = candidate; // It was evicted from there or failed there: only when nothing else is left.
-        } else {
-            fitting.push_back(candidate);
-        }
-    }
-    const bool mayReturn = m_core.context.now() - m_arrivedAt.at(task.id) >= leastStay;
-    if (fitting.empty() && former && mayReturn) {
-        fitting.push_back(*former);
     }
     return fitting;
 }
 
+bool TaskQueue::returnToFormer(const TaskState &task)
+{
+    const auto former = m_core.workers.find(task.lastWorker);
+    const bool hasWaited = m_core.context.now() - m_arrivedAt.at(task.id) >= formerWorkerAfter;
+    if (former == m_core.workers.end() || !hasWaited || !m_core.isUsable(former->second)
+        || !m_core.freeOn(former->second).covers(task.spec.declared)) {
+        return false;
+    }
+    place(task, task.lastWorker);
+    return true;
+}
+
 void TaskQueue::place(const TaskState &task, const WorkerId &worker)
 {
     const AttemptKey attempt { task.id, AttemptNumber(task.attempts + 1) };
--- a/src/libscheduler/taskqueue.h
+++ b/src/libscheduler/taskqueue.h
@@ -64,6 +64,7 @@
     [[nodiscard]] std::vector<PlacementCandidate> candidates(const TaskState &task) const;
     void place(const TaskState &task, const WorkerId &worker);
     bool moveElsewhere(const TaskState &task);
+    bool returnToFormer(const TaskState &task);
     bool endIfUnplaceable(const TaskState &task);
 
     ShardCore &m_core;
