--- a/src/libplatform/httpconnection.cpp
+++ b/src/libplatform/httpconnection.cpp
@@ -20,7 +20,7 @@
     made.path = request.target;
     made.body = request.body;
     for (const auto &[name, value] : request.headers) {
-        made.set_header(name.c_str(), value);
+        made.headers.emplace(name, value);
     }
     if (!request.contentType.empty()) {
         made.set_header("Content-Type", request.contentType);
--- a/src/libplatform/httpconnectionpool.cpp
+++ b/src/libplatform/httpconnectionpool.cpp
@@ -130,9 +130,9 @@
 };
 
 HttpConnectionPool::HttpConnectionPool(HttpClientOptions options)
-    : d(std::make_unique<Private>())
+    : m_data(std::make_unique<Private>())
 {
-    d->options = options;
+    m_data->options = options;
 }
 
 HttpConnectionPool::~HttpConnectionPool() = default;
@@ -142,37 +142,37 @@
 {
     const Clock::time_point deadline = Clock::now() + timeout;
     const std::optional<HostAndPort> server = parseAddress(address.value());
-    if (!server || !d->reserve(address, deadline)) {
+    if (!server || !m_data->reserve(address, deadline)) {
         return tl::unexpected(HttpError::NotSent);
     }
-    ConnectionPointer connection = d->takeIdle(address);
+    ConnectionPointer connection = m_data->takeIdle(address);
     tl::expected<HttpAnswer, HttpError> answer = tl::unexpected(HttpError::NotSent);
     if (connection) {
         answer = connection->exchange(request, deadline);
     }
     // The server may have closed an idle connection; when nothing was sent on it, a fresh one may be tried.
     if (!answer && answer.error() == HttpError::NotSent) {
-        connection = std::make_unique<HttpConnection>(server->host, server->port, d->options);
+        connection = std::make_unique<HttpConnection>(server->host, server->port, m_data->options);
         answer = connection->exchange(request, deadline);
     }
     if (!answer && answer.error() == HttpError::Unknown && Clock::now() >= deadline) {
-        ++d->replaced;
+        ++m_data->replaced;
     }
     if (!connection->isReusable()) {
         connection.reset();
     }
-    d->release(address, std::move(connection));
+    m_data->release(address, std::move(connection));
     return answer;
 }
 
 const HttpClientOptions &HttpConnectionPool::options() const
 {
-    return d->options;
+    return m_data->options;
 }
 
 std::uint64_t HttpConnectionPool::connectionsReplaced() const
 {
-    return d->replaced;
+    return m_data->replaced;
 }
 
 } // namespace currantring
--- a/src/libplatform/httpconnectionpool.h
+++ b/src/libplatform/httpconnectionpool.h
@@ -79,7 +79,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_data;
 };
 
 } // namespace currantring
--- a/tests/libplatform/contractsubject.cpp
+++ b/tests/libplatform/contractsubject.cpp
@@ -178,6 +178,11 @@
     return m_server.truth();
 }
 
+std::map<std::string, std::uint64_t> HttpSubject::counts()
+{
+    return m_server.counts();
+}
+
 bool HttpSubject::hasReplacedConnections() const
 {
     return m_hastyStore.connectionsReplaced() + m_hastyWorker.connectionsReplaced() + m_endpoint.connectionsReplaced()
--- a/tests/libplatform/contractsubject.h
+++ b/tests/libplatform/contractsubject.h
@@ -62,6 +62,7 @@
     void occupy(EndpointRequest request);
     void throwFault(const nlohmann::json &fault);
     nlohmann::json truth();
+    std::map<std::string, std::uint64_t> counts();
     [[nodiscard]] bool hasReplacedConnections() const;
 
 private:
--- a/tests/standin/standinserver.cpp
+++ b/tests/standin/standinserver.cpp
@@ -71,7 +71,7 @@
 };
 
 StandinServer::StandinServer(StandinServerOptions options)
-    : d(std::make_unique<Private>(std::move(options)))
+    : m_data(std::make_unique<Private>(std::move(options)))
 {
 }
 
@@ -83,51 +83,58 @@
 tl::expected<void, std::string> StandinServer::start()
 {
     // The workers come first, so that the first host list already has their addresses.
-    tl::expected<void, std::string> workers = d->startWorkers();
+    tl::expected<void, std::string> workers = m_data->startWorkers();
     if (!workers) {
         return workers;
     }
-    const tl::expected<Address, std::string> address = d->listen(d->storePort.server(), d->options.storePort);
+    const tl::expected<Address, std::string> address =
+        m_data->listen(m_data->storePort.server(), m_data->options.storePort);
     if (!address) {
         return tl::unexpected(address.error());
     }
-    d->storeAddress = *address;
+    m_data->storeAddress = *address;
     return {};
 }
 
 void StandinServer::stop()
 {
-    d->site.close();
-    d->storePort.server().finish();
-    for (const auto &port : d->workerPorts) {
+    m_data->site.close();
+    m_data->storePort.server().finish();
+    for (const auto &port : m_data->workerPorts) {
         port->server().finish();
     }
 }
 
 Address StandinServer::storeAddress() const
 {
-    return d->storeAddress;
+    return m_data->storeAddress;
 }
 
 Address StandinServer::workerAddress(const WorkerId &worker) const
 {
-    const auto found = d->workerAddresses.find(worker);
-    return found == d->workerAddresses.end() ? Address() : found->second;
+    const auto found = m_data->workerAddresses.find(worker);
+    return found == m_data->workerAddresses.end() ? Address() : found->second;
 }
 
 std::optional<std::string> StandinServer::throwFault(const nlohmann::json &fault)
 {
     if (fault.is_object() && fault.value("fault", "") == "silentConnections") {
-        d->silenceConnections();
+        m_data->silenceConnections();
         return std::nullopt;
     }
-    return d->site.withPlatform(
+    return m_data->site.withPlatform(
         [&fault](StandinPlatform &platform, TimePoint now) { return platform.throwFault(fault, now); });
 }
 
 nlohmann::json StandinServer::truth()
 {
-    return d->site.withPlatform([](StandinPlatform &platform, TimePoint) { return describeTruth(platform.truth()); });
+    return m_data->site.withPlatform(
+        [](StandinPlatform &platform, TimePoint) { return describeTruth(platform.truth()); });
+}
+
+std::map<std::string, std::uint64_t> StandinServer::counts()
+{
+    return m_data->site.withPlatform([](StandinPlatform &platform, TimePoint) { return platform.counts(); });
 }
 
 } // namespace currantring
--- a/tests/standin/standinserver.h
+++ b/tests/standin/standinserver.h
@@ -51,10 +51,12 @@
     std::optional<std::string> throwFault(const nlohmann::json &fault);
     /** The log of what truly ran, as GET /v1/truth gives it. */
     [[nodiscard]] nlohmann::json truth();
+    /** Calls by kind, as GET /v1/counts gives them. */
+    [[nodiscard]] std::map<std::string, std::uint64_t> counts();
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_data;
 };
 
 } // namespace currantring
