--- a/src/libpeer/http2session.cpp
+++ b/src/libpeer/http2session.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
+#include <new>
 
 namespace currantring {
 
@@ -318,7 +318,7 @@
     }
     Outgoing &message = outgoing->second;
     const std::size_t count = std::min(size, message.bytes.size() - message.offset);
-    std::memcpy(target, message.bytes.data() + message.offset, count);
+    std::copy_n(message.bytes.data() + message.offset, count, target);
     message.offset += count;
     if (message.offset == message.bytes.size()) {
         flags |= NGHTTP2_DATA_FLAG_EOF;
