Take a single host's fresh services as known again after the first update

Cause: the daemon tells the router its workers at every read of the host list, not as freshly known; each such call made the router distrust what it knew, so a lone host answered non-idempotent requests by outcome-unknown at first. Ruled out: ignoring such calls; a really new worker of an earlier holder must still count against freshness. Change: only an endpoint that is new to the table distrusts, and then from the service's first view on. A queued request that can't be sent ends the round instead of being taken again. Conclusion: fresh fleets of one host serve at once.

--- a/src/libscheduler/endpointtable.cpp
+++ b/src/libscheduler/endpointtable.cpp
@@ -27,13 +27,13 @@
     return m_limits;
 }
 
-void EndpointTable::add(const WorkerInfo &worker, CommandFence fence, bool freshlyKnown)
+bool EndpointTable::add(const WorkerInfo &worker, CommandFence fence, bool freshlyKnown)
 {
     const auto present = m_endpoints.find(worker.id);
     if (present != m_endpoints.end() && present->second->fence.shard == fence.shard
         && present->second->fence.epoch == fence.epoch) {
         update(worker);
-        return;
+        return false;
     }
     const TimePoint now = m_context.now();
     const TimePoint latestEnd = now + m_limits.longestDeadline + m_limits.clockError;
@@ -49,6 +49,7 @@
     followLeaving(*endpoint);
     m_endpoints[worker.id] = std::move(endpoint);
     rebuildIndex();
+    return true;
 }
 
 void EndpointTable::update(const WorkerInfo &worker)
--- a/src/libscheduler/endpointtable.h
+++ b/src/libscheduler/endpointtable.h
@@ -53,8 +53,8 @@
 
     void setLimits(const EndpointLimits &limits);
     [[nodiscard]] const EndpointLimits &limits() const;
-    /** Starts counting; an endpoint that is there under the same fence is only updated. */
-    void add(const WorkerInfo &worker, CommandFence fence, bool freshlyKnown);
+    /** Starts counting and gives true; an endpoint that is there under the same fence is only updated. */
+    bool add(const WorkerInfo &worker, CommandFence fence, bool freshlyKnown);
     /** Does nothing for an unknown worker. */
     void update(const WorkerInfo &worker);
     void remove(const WorkerId &worker);
--- a/src/libscheduler/requestdispatch.cpp
+++ b/src/libscheduler/requestdispatch.cpp
@@ -265,11 +265,10 @@
     if (!next) {
         return false;
     }
-    sendQueued(next->number);
-    return true;
+    return sendQueued(next->number);
 }
 
-void RequestRouter::Private::sendQueued(std::uint64_t number)
+bool RequestRouter::Private::sendQueued(std::uint64_t number)
 {
     Flight &flight = flights.at(number);
     const auto remainingMs = static_cast<double>((flight.deadline - context.now()).count());
@@ -280,7 +279,9 @@
     } else if (!sendNow(flight)) {
         queueOf(flight.request.service)
             .push(QueuedRequest { number, flight.request.owner, flight.deadline }, weightOf(flight.request.owner));
+        return false;
     }
+    return true;
 }
 
 void RequestRouter::Private::redirectQueue(const ServiceName &service)
--- a/src/libscheduler/requesthomes.cpp
+++ b/src/libscheduler/requesthomes.cpp
@@ -31,6 +31,7 @@
     auto [found, isNew] = m_histories.try_emplace(service);
     History &history = found->second;
     if (isNew) {
+        history.firstView = now;
         history.knownSince = provenFresh ? TimePoint::min() : now;
     }
     if (history.views.empty() || history.views.back().hosts != hosts) {
@@ -49,12 +50,12 @@
     }
 }
 
-void RequestHomes::distrustFresh(TimePoint now, const std::vector<ServiceName> &services)
+void RequestHomes::distrustFresh(const std::vector<ServiceName> &services)
 {
     for (const ServiceName &service : services) {
         const auto found = m_histories.find(service);
         if (found != m_histories.end() && found->second.knownSince == TimePoint::min()) {
-            found->second.knownSince = now;
+            found->second.knownSince = found->second.firstView;
         }
     }
 }
--- a/src/libscheduler/requesthomes.h
+++ b/src/libscheduler/requesthomes.h
@@ -30,8 +30,8 @@
                   bool provenFresh);
     /** This process may have been paused: what was known before @p now counts no more. */
     void forgetHistory(TimePoint now);
-    /** Another host held an endpoint for @p services before: what was taken for fresh no longer is. */
-    void distrustFresh(TimePoint now, const std::vector<ServiceName> &services);
+    /** Another host held an endpoint for @p services before: what was taken for fresh counts from its first view. */
+    void distrustFresh(const std::vector<ServiceName> &services);
     /** The home as seen now; nullopt when no host serves the service. */
     [[nodiscard]] std::optional<HostId> home(const ServiceName &service, const OwnerId &owner,
                                              const RequestId &request) const;
@@ -49,6 +49,7 @@
     {
         /** Before this moment nothing is known. */
         TimePoint knownSince;
+        TimePoint firstView;
         std::deque<View> views;
     };
 
--- a/src/libscheduler/requestrouter.cpp
+++ b/src/libscheduler/requestrouter.cpp
@@ -274,9 +274,9 @@
 
 void RequestRouter::addEndpoint(const WorkerInfo &worker, CommandFence fence, bool freshlyKnown)
 {
-    m_d->endpoints.add(worker, fence, freshlyKnown);
-    if (!freshlyKnown) {
-        m_d->homes.distrustFresh(m_d->context.now(), worker.services);
+    const bool isNew = m_d->endpoints.add(worker, fence, freshlyKnown);
+    if (isNew && !freshlyKnown) {
+        m_d->homes.distrustFresh(worker.services);
     }
     m_d->followHosts(freshlyKnown);
     m_d->pump();
--- a/src/libscheduler/requestrouter_p.h
+++ b/src/libscheduler/requestrouter_p.h
@@ -100,7 +100,7 @@
     void retry(Flight &flight, std::string_view reason);
     void pump();
     bool pumpOne(const ServiceName &service);
-    void sendQueued(std::uint64_t number);
+    bool sendQueued(std::uint64_t number);
     void redirectQueue(const ServiceName &service);
     void scheduleWake();
 
--- a/tests/libscheduler/testrequestparts.cpp
+++ b/tests/libscheduler/testrequestparts.cpp
@@ -221,4 +221,25 @@
     BOOST_TEST((own > 30 && own < 70));
 }
 
+BOOST_AUTO_TEST_CASE(aFreshServiceIsTrustedUntilAnEarlierHolderShowsUp)
+{
+    RequestHomes homes(HostId("a"));
+    const ServiceName service("s");
+    const Milliseconds window { 100 };
+    const auto isTrusted = [&](std::int64_t now) {
+        return homes.wasHomeThroughout(at(now), window, service, OwnerId("o"), RequestId("r"));
+    };
+    homes.setHosts(at(0), window, service, { HostId("a") }, true);
+    BOOST_TEST(isTrusted(0));
+    homes.distrustFresh({ service });
+    BOOST_TEST(!isTrusted(99));
+    BOOST_TEST(isTrusted(100));
+    homes.setHosts(at(200), window, service, {}, false);
+    homes.setHosts(at(210), window, service, { HostId("a") }, false);
+    BOOST_TEST(!isTrusted(310));
+    BOOST_TEST(isTrusted(311));
+    homes.forgetHistory(at(400));
+    BOOST_TEST(!isTrusted(499));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
