--- a/src/currantringctl/configurationcommands.cpp
+++ b/src/currantringctl/configurationcommands.cpp
@@ -71,6 +71,16 @@
     return sayNotKnown(change);
 }
 
+/** A conflict carries the change that came first. */
+std::string describeRefusal(const HostAnswer &answer)
+{
+    const nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
+    if (answer.outcome == "conflict" && body.is_object() && body.contains("version")) {
+        return "version " + body["version"].dump() + " by " + body.value("author", std::string("?")) + " came first";
+    }
+    return messageOf(answer);
+}
+
 ExitCode sayOutcome(const HostResult &result, const HostClient &client, const std::string &change)
 {
     if (!result) {
@@ -88,7 +98,7 @@
     } else if (code == ExitCode::NotKnown) {
         return sayNotKnown(change);
     } else {
-        std::cout << "not accepted: " << messageOf(*result) << '\n';
+        std::cout << "not accepted: " << describeRefusal(*result) << '\n';
     }
     return code;
 }
--- a/src/currantringctl/printing.cpp
+++ b/src/currantringctl/printing.cpp
@@ -71,6 +71,9 @@
     if (body.is_object() && body.contains("findings") && body["findings"].is_array()) {
         std::string text;
         for (const nlohmann::json &finding : body["findings"]) {
+            if (!finding.is_object()) {
+                continue;
+            }
             text += (text.empty() ? "" : "; ") + finding.value("place", std::string("?")) + ": "
                 + finding.value("message", std::string("?"));
         }
