--- a/src/libpeer/peertransport.cpp
+++ b/src/libpeer/peertransport.cpp
@@ -88,7 +88,7 @@
 }
 
 PeerTransport::PeerTransport(PeerTransportOptions options, PeerTransportHandlers handlers)
-    : d(std::make_unique<Private>(std::move(options), std::move(handlers)))
+    : m_d(std::make_unique<Private>(std::move(options), std::move(handlers)))
 {
 }
 
@@ -99,69 +99,69 @@
 
 tl::expected<void, PeerTransportError> PeerTransport::start()
 {
-    auto socket = d->openListener();
+    auto socket = m_d->openListener();
     if (!socket) {
         return tl::unexpected(socket.error());
     }
-    if (!d->loop.open()) {
+    if (!m_d->loop.open()) {
         return tl::unexpected(PeerTransportError { PeerTransportErrorKind::System,
                                                    std::string("can't wait for sockets: ") + std::strerror(errno) });
     }
-    d->address = localAddress(socket->get());
-    d->listener =
-        std::make_unique<PeerListener>(d->context, std::move(*socket), [this](const HostId &from, std::string bytes) {
-            return d->handlers.onMessage(from, std::move(bytes));
+    m_d->address = localAddress(socket->get());
+    m_d->listener =
+        std::make_unique<PeerListener>(m_d->context, std::move(*socket), [this](const HostId &from, std::string bytes) {
+            return m_d->handlers.onMessage(from, std::move(bytes));
         });
-    d->thread = Thread("peers", [this] { d->loop.run(); });
+    m_d->thread = Thread("peers", [this] { m_d->loop.run(); });
     return {};
 }
 
 void PeerTransport::stop()
 {
-    if (!d->listener) {
+    if (!m_d->listener) {
         return;
     }
-    d->loop.post([this] { d->drainAll(); });
-    d->loop.quit();
-    d->thread.join();
-    d->links.clear();
-    d->listener.reset();
+    m_d->loop.post([this] { m_d->drainAll(); });
+    m_d->loop.quit();
+    m_d->thread.join();
+    m_d->links.clear();
+    m_d->listener.reset();
 }
 
 Address PeerTransport::listenAddress() const
 {
-    return d->address;
+    return m_d->address;
 }
 
 void PeerTransport::connect(const HostId &peer, const Address &address)
 {
-    d->loop.post([this, peer, address] { d->setLink(peer, address); });
+    m_d->loop.post([this, peer, address] { m_d->setLink(peer, address); });
 }
 
 void PeerTransport::disconnect(const HostId &peer)
 {
-    d->loop.post([this, peer] { d->links.erase(peer); });
+    m_d->loop.post([this, peer] { m_d->links.erase(peer); });
 }
 
 bool PeerTransport::send(const HostId &peer, std::string bytes)
 {
-    if (bytes.size() > d->options.maximumMessageBytes) {
-        ++d->counters.oversize;
+    if (bytes.size() > m_d->options.maximumMessageBytes) {
+        ++m_d->counters.oversize;
         return false;
     }
-    if (!d->outbox.push(peer, std::move(bytes))) {
-        ++d->counters.dropped;
+    if (!m_d->outbox.push(peer, std::move(bytes))) {
+        ++m_d->counters.dropped;
         return false;
     }
-    if (!d->isDrainPosted.exchange(true)) {
-        d->loop.post([this] { d->drainAll(); });
+    if (!m_d->isDrainPosted.exchange(true)) {
+        m_d->loop.post([this] { m_d->drainAll(); });
     }
     return true;
 }
 
 PeerTransportCounts PeerTransport::counts() const
 {
-    const PeerCounters &now = d->counters;
+    const PeerCounters &now = m_d->counters;
     return { now.bytesIn,  now.bytesOut, now.messagesIn, now.messagesOut, now.dropped, now.unconfirmed,
              now.oversize, now.garbage,  now.silent,     now.connected,   now.lost,    now.refused };
 }
--- a/src/libpeer/peertransport.h
+++ b/src/libpeer/peertransport.h
@@ -120,7 +120,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace currantring
--- a/src/libscheduler/membership.cpp
+++ b/src/libscheduler/membership.cpp
@@ -231,7 +231,7 @@
 }
 
 Membership::Membership(HostId self, Address peerAddress, Context &context, HeartbeatSource source)
-    : d(std::make_unique<Private>(std::move(self), std::move(peerAddress), context, std::move(source)))
+    : m_d(std::make_unique<Private>(std::move(self), std::move(peerAddress), context, std::move(source)))
 {
 }
 
@@ -239,63 +239,63 @@
 
 void Membership::setConfiguration(const Configuration &configuration)
 {
-    d->heartbeatInterval = configuration.duration(Setting::HeartbeatInterval);
-    d->silence = configuration.duration(Setting::PeerSilence);
-    d->registration.setTerm(std::max(shortestTerm, d->silence * silencesPerTerm));
+    m_d->heartbeatInterval = configuration.duration(Setting::HeartbeatInterval);
+    m_d->silence = configuration.duration(Setting::PeerSilence);
+    m_d->registration.setTerm(std::max(shortestTerm, m_d->silence * silencesPerTerm));
 }
 
 void Membership::start()
 {
-    const nlohmann::json entry = { { "peerAddress", d->address }, { "dataCentre", d->source().dataCentre } };
-    d->registration.start(entry.dump());
-    d->readList();
-    d->beat();
+    const nlohmann::json entry = { { "peerAddress", m_d->address }, { "dataCentre", m_d->source().dataCentre } };
+    m_d->registration.start(entry.dump());
+    m_d->readList();
+    m_d->beat();
 }
 
 void Membership::leave()
 {
-    if (d->left) {
+    if (m_d->left) {
         return;
     }
-    d->left = true;
-    d->context.cancel(d->beatTimer);
-    d->context.cancel(d->listTimer);
-    d->registration.withdraw();
-    d->sendHeartbeats();
+    m_d->left = true;
+    m_d->context.cancel(m_d->beatTimer);
+    m_d->context.cancel(m_d->listTimer);
+    m_d->registration.withdraw();
+    m_d->sendHeartbeats();
 }
 
 void Membership::announce()
 {
-    if (!d->left) {
-        d->sendHeartbeats();
+    if (!m_d->left) {
+        m_d->sendHeartbeats();
     }
 }
 
 void Membership::handleHeartbeat(const Heartbeat &heartbeat)
 {
-    if (heartbeat.host == d->self) {
+    if (heartbeat.host == m_d->self) {
         return;
     }
-    const auto known = d->peers.find(heartbeat.host);
-    const bool isNew = known == d->peers.end();
-    Peer &peer = isNew ? d->addPeer(heartbeat.host, heartbeat.peerAddress) : known->second;
+    const auto known = m_d->peers.find(heartbeat.host);
+    const bool isNew = known == m_d->peers.end();
+    Peer &peer = isNew ? m_d->addPeer(heartbeat.host, heartbeat.peerAddress) : known->second;
     if (peer.address != heartbeat.peerAddress) {
         peer.address = heartbeat.peerAddress;
-        d->context.linkPeer(heartbeat.host, peer.address);
+        m_d->context.linkPeer(heartbeat.host, peer.address);
     }
     peer.heartbeat = heartbeat;
-    peer.heardAt = d->context.now();
-    d->noteLiveness(heartbeat.host, peer);
-    if (d->storeFailed) {
-        d->beginSettling();
+    peer.heardAt = m_d->context.now();
+    m_d->noteLiveness(heartbeat.host, peer);
+    if (m_d->storeFailed) {
+        m_d->beginSettling();
     }
 }
 
 std::vector<PeerView> Membership::livePeers() const
 {
     std::vector<PeerView> views;
-    for (const auto &[host, peer] : d->peers) {
-        if (d->isLive(peer)) {
+    for (const auto &[host, peer] : m_d->peers) {
+        if (m_d->isLive(peer)) {
             views.push_back({ *peer.heartbeat, peer.heardAt });
         }
     }
@@ -304,18 +304,18 @@
 
 bool Membership::isLive(const HostId &host) const
 {
-    const auto peer = d->peers.find(host);
-    return host == d->self || (peer != d->peers.end() && d->isLive(peer->second));
+    const auto peer = m_d->peers.find(host);
+    return host == m_d->self || (peer != m_d->peers.end() && m_d->isLive(peer->second));
 }
 
 bool Membership::storeReachable() const
 {
-    return d->reachable;
+    return m_d->reachable;
 }
 
 bool Membership::isSettled() const
 {
-    return d->isSettled();
+    return m_d->isSettled();
 }
 
 std::optional<HostId> Membership::preferredWriter(ShardId shard) const
@@ -324,11 +324,11 @@
     const auto consider = [&](const HostId &host) {
         best = std::max(best, std::optional(std::pair(writerScore(shard, host), host)));
     };
-    if (!d->left && !d->source().leaving) {
-        consider(d->self);
+    if (!m_d->left && !m_d->source().leaving) {
+        consider(m_d->self);
     }
-    for (const auto &[host, peer] : d->peers) {
-        if (d->isLive(peer) && !peer.heartbeat->leaving) {
+    for (const auto &[host, peer] : m_d->peers) {
+        if (m_d->isLive(peer) && !peer.heartbeat->leaving) {
             consider(host);
         }
     }
@@ -345,9 +345,9 @@
             }
         }
     };
-    consider(d->source(), d->self);
-    for (const auto &[host, peer] : d->peers) {
-        if (d->isLive(peer)) {
+    consider(m_d->source(), m_d->self);
+    for (const auto &[host, peer] : m_d->peers) {
+        if (m_d->isLive(peer)) {
             consider(*peer.heartbeat, host);
         }
     }
--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -90,7 +90,7 @@
     , directory(context, [this] { updateWorkers(); })
     , forwards(options.host, context)
     , requests(context, charts.endpoint, options.host,
-               [this](const HostId &peer, const CallService &request, RequestRouter::ReplyHandler handler) {
+               [this](const HostId &peer, const CallService &request, const RequestRouter::ReplyHandler &handler) {
                    const Milliseconds timeout = request.timeout.value_or(defaultServiceTimeout) + forwardMargin;
                    forwards.forward(peer, request, 1, timeout, [handler](const std::optional<CallerReply> &reply) {
                        handler(reply.value_or(makeReply(ReplyCode::OutcomeUnknown, "connection-lost")));
@@ -372,7 +372,7 @@
 }
 
 Node::Node(NodeOptions options, ChartSet charts, Context &context)
-    : d(std::make_unique<Private>(std::move(options), std::move(charts), context))
+    : m_d(std::make_unique<Private>(std::move(options), std::move(charts), context))
 {
 }
 
@@ -380,74 +380,74 @@
 
 void Node::start()
 {
-    d->keeper.start();
-    d->membership.start();
-    d->directory.start();
-    d->beat();
+    m_d->keeper.start();
+    m_d->membership.start();
+    m_d->directory.start();
+    m_d->beat();
 }
 
 void Node::stop()
 {
-    if (d->state == "draining" || d->state == "stopped") {
+    if (m_d->state == "draining" || m_d->state == "stopped") {
         return;
     }
-    d->send("stop");
-    d->requests.beginDrain();
-    d->membership.announce();
-    d->shards.releaseAll(d->lifetime.guard([this] { d->shardsReleased = true; }));
-    d->checkDrained();
+    m_d->send("stop");
+    m_d->requests.beginDrain();
+    m_d->membership.announce();
+    m_d->shards.releaseAll(m_d->lifetime.guard([this] { m_d->shardsReleased = true; }));
+    m_d->checkDrained();
 }
 
-void Node::handleCaller(CallerToken caller, CallerRequest request)
+void Node::handleCaller(CallerToken caller, const CallerRequest &request)
 {
-    d->callers.insert(caller);
-    d->serve(request, 0, d->lifetime.guard([this, caller](CallerReply reply) {
-        if (d->callers.erase(caller) > 0) {
-            d->context.replyCaller(caller, std::move(reply));
+    m_d->callers.insert(caller);
+    m_d->serve(request, 0, m_d->lifetime.guard([this, caller](CallerReply reply) {
+        if (m_d->callers.erase(caller) > 0) {
+            m_d->context.replyCaller(caller, std::move(reply));
         }
     }));
 }
 
 void Node::forgetCaller(CallerToken caller)
 {
-    d->callers.erase(caller);
+    m_d->callers.erase(caller);
 }
 
 void Node::handlePeer(const HostId &from, const PeerMessage &message)
 {
     if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
-        d->membership.handleHeartbeat(*heartbeat);
-        d->keeper.noteVersion(heartbeat->host, heartbeat->version);
+        m_d->membership.handleHeartbeat(*heartbeat);
+        m_d->keeper.noteVersion(heartbeat->host, heartbeat->version);
     } else if (const auto *forward = std::get_if<ForwardRequest>(&message)) {
-        d->handleForward(*forward);
+        m_d->handleForward(*forward);
     } else if (const auto *reply = std::get_if<ForwardReply>(&message)) {
-        d->forwards.handleReply(*reply);
+        m_d->forwards.handleReply(*reply);
     } else if (const auto *handOver = std::get_if<HandOver>(&message)) {
-        d->shards.handleHandOver(*handOver);
+        m_d->shards.handleHandOver(*handOver);
     } else if (std::holds_alternative<ConfigurationPull>(message)) {
-        d->keeper.handlePull(from);
+        m_d->keeper.handlePull(from);
     } else if (const auto *push = std::get_if<ConfigurationPush>(&message)) {
-        d->keeper.handlePush(*push);
+        m_d->keeper.handlePush(*push);
     } else if (const auto *move = std::get_if<TaskMove>(&message)) {
-        d->handleMove(from, *move);
+        m_d->handleMove(from, *move);
     } else if (const auto *ack = std::get_if<TaskMoveAck>(&message)) {
-        d->handleMoveAck(*ack);
+        m_d->handleMoveAck(*ack);
     }
 }
 
 void Node::handleLinkLost(const HostId &peer)
 {
-    d->forwards.handleLinkLost(peer);
+    m_d->forwards.handleLinkLost(peer);
 }
 
 bool Node::isHealthy() const
 {
-    return d->state == "serving";
+    return m_d->state == "serving";
 }
 
 std::string Node::state() const
 {
-    return d->state;
+    return m_d->state;
 }
 
 } // namespace currantring
--- a/src/libscheduler/node.h
+++ b/src/libscheduler/node.h
@@ -35,7 +35,7 @@
     /** Begins a planned stop; an ExitAction follows once nothing is in flight. Repeating it does nothing. */
     void stop();
     /** Takes a caller's request; a CallerReplyAction with @p caller follows in every case. */
-    void handleCaller(CallerToken caller, CallerRequest request);
+    void handleCaller(CallerToken caller, const CallerRequest &request);
     /** The caller has hung up; its reply will be dropped. */
     void forgetCaller(CallerToken caller);
     /** Takes a message from the peer @p from. */
@@ -50,7 +50,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace currantring
