--- a/src/libpeer/peerconnection.cpp
+++ b/src/libpeer/peerconnection.cpp
@@ -106,15 +106,23 @@
             m_context.counters.bytesIn += static_cast<std::uint64_t>(count);
             m_session.receive({ buffer.data(), static_cast<std::size_t>(count) });
         } else if (count == 0) {
-            end(PeerConnectionEnd::Lost, "closed by the peer");
+            endByPeer("closed by the peer");
         } else if (errno == EAGAIN) {
             return;
         } else if (errno != EINTR) {
-            end(PeerConnectionEnd::Lost, std::strerror(errno));
+            endByPeer(std::strerror(errno));
         }
     }
 }
 
+void PeerConnection::endByPeer(const std::string &detail)
+{
+    // Garbage is noted when the answer to it is made, also if nobody is there to take it.
+    m_session.produce(m_out, writeBytes);
+    end(m_garbageReason.empty() ? PeerConnectionEnd::Lost : PeerConnectionEnd::Garbage,
+        m_garbageReason.empty() ? detail : m_garbageReason);
+}
+
 void PeerConnection::flush()
 {
     // What the handlers do may drop the last owner.
--- a/src/libpeer/peerconnection.h
+++ b/src/libpeer/peerconnection.h
@@ -64,6 +64,7 @@
     Http2Session::Handlers sessionHandlers();
     void handleEvents(std::uint32_t events);
     void readSocket();
+    void endByPeer(const std::string &detail);
     bool writeSocket();
     void watchForWriting(bool isWanted);
     void checkLife();
--- a/tests/libpeer/testpeertransport.cpp
+++ b/tests/libpeer/testpeertransport.cpp
@@ -2,7 +2,9 @@
 
 #include "random.h"
 
+#include <chrono>
 #include <set>
+#include <thread>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -189,6 +191,21 @@
     BOOST_TEST(left.transport.counts().lost == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(garbageIsCountedAlsoWhenItsSenderHasGone)
+{
+    constexpr std::uint64_t senders = 40;
+    TestTransport right(testOptions("right"));
+    for (std::uint64_t sender = 0; sender < senders; ++sender) {
+        const PlainSocket client = PlainSocket::connectedTo(right.transport.listenAddress());
+        client.write(garbageRows.front().bytes);
+    }
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (right.transport.counts().garbage < senders && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+    BOOST_TEST(right.transport.counts().garbage == senders);
+}
+
 BOOST_AUTO_TEST_CASE(anUndecodableMessageResetsOnlyItsStream)
 {
     TestTransport left(testOptions("left"));
