--- a/bench/callbench.cpp
+++ b/bench/callbench.cpp
@@ -60,8 +60,10 @@
 /** The shard is one that no configuration has, so that a direct call doesn't outrank the endpoint's shard writer. */
 httplib::Headers makeHeaders(const std::string &owner, const std::string &request)
 {
-    return { { "Currantring-Owner", owner },       { "Currantring-Request-Id", request },
-             { "Currantring-Timeout-Ms", "5000" }, { "Currantring-Shard", "999" },
+    return { { "Currantring-Owner", owner },
+             { "Currantring-Request-Id", request },
+             { "Currantring-Timeout-Ms", "5000" },
+             { "Currantring-Shard", "999" },
              { "Currantring-Epoch", "1" } };
 }
 
