--- a/src/currantringd/httpfront.cpp
+++ b/src/currantringd/httpfront.cpp
@@ -207,7 +207,8 @@
 
 RequestId HttpFront::makeRequestId()
 {
-    return RequestId(m_options.host.value() + "-" + std::to_string(++m_lastRequest));
+    // A process that takes over a host id must not repeat the ids of the one before it.
+    return RequestId(m_options.host.value() + "-" + m_processTag + "-" + std::to_string(++m_lastRequest));
 }
 
 void HttpFront::serveCall(const httplib::Request &request, httplib::Response &response)
--- a/src/currantringd/httpfront.h
+++ b/src/currantringd/httpfront.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <random>
 #include <string>
 
 namespace currantring {
@@ -90,6 +91,7 @@
 
     const Options m_options;
     Parts m_parts;
+    const std::string m_processTag = std::to_string(std::random_device {}());
     std::atomic<std::uint64_t> m_lastRequest = 0;
     LimitedServer m_callers;
     LimitedServer m_operators;
--- a/src/libscheduler/attemptdriver.cpp
+++ b/src/libscheduler/attemptdriver.cpp
@@ -365,16 +365,13 @@
 
 TimePoint AttemptDriver::leasesOverAt(const WorkerView &worker) const
 {
-    const Configuration &configuration = m_core.configuration;
-    const Milliseconds margin =
-        configuration.duration(Setting::TaskLease) + configuration.duration(Setting::ClockError);
     if (worker.knowsEpoch) {
-        return worker.lastExtension + margin;
+        return worker.lastExtension + m_core.longestMargin;
     }
     // A former writer that lost sight of the store may have gone on extending leases for the outage term.
     const bool formerHasEnded = m_core.handedOver || !worker.listed;
-    const Milliseconds outage = formerHasEnded ? Milliseconds(0) : configuration.duration(Setting::OutageTerm);
-    return m_core.activeSince + outage + margin;
+    const Milliseconds outage = formerHasEnded ? Milliseconds(0) : m_core.longestOutage;
+    return m_core.activeSince + outage + m_core.longestMargin;
 }
 
 void AttemptDriver::giveUpIfSilent(WorkerView &worker)
--- a/src/libscheduler/ledgerrecord.cpp
+++ b/src/libscheduler/ledgerrecord.cpp
@@ -229,9 +229,11 @@
         record["at"] = timed.at;
         records.push_back(std::move(record));
     }
-    const nlohmann::json json = {
-        { "slot", slot.number }, { "epoch", slot.epoch }, { "writer", slot.writer }, { "records", std::move(records) }
-    };
+    const nlohmann::json json = { { "slot", slot.number },
+                                  { "epoch", slot.epoch },
+                                  { "writer", slot.writer },
+                                  { "nonce", slot.nonce },
+                                  { "records", std::move(records) } };
     return json.dump();
 }
 
@@ -239,9 +241,11 @@
 {
     try {
         const nlohmann::json json = nlohmann::json::parse(text);
-        LedgerSlot slot {
-            json.at("slot").get<SlotNumber>(), json.at("epoch").get<Epoch>(), json.at("writer").get<HostId>(), {}
-        };
+        LedgerSlot slot { json.at("slot").get<SlotNumber>(),
+                          json.at("epoch").get<Epoch>(),
+                          json.at("writer").get<HostId>(),
+                          json.at("nonce").get<std::uint64_t>(),
+                          {} };
         for (const nlohmann::json &record : json.at("records")) {
             slot.records.push_back(TimedRecord { record.at("at").get<WallTime>(), decodeAnyRecord(record) });
         }
--- a/src/libscheduler/membership.cpp
+++ b/src/libscheduler/membership.cpp
@@ -61,6 +61,7 @@
 
     [[nodiscard]] bool isLive(const Peer &peer) const;
     [[nodiscard]] Heartbeat ownHeartbeat() const;
+    const Heartbeat &lastOwn();
     void noteStore(bool reached);
     void beat();
     void sendHeartbeats();
@@ -82,6 +83,7 @@
     Milliseconds heartbeatInterval { Configuration().duration(Setting::HeartbeatInterval) };
     Milliseconds silence { Configuration().duration(Setting::PeerSilence) };
     std::map<HostId, Peer> peers;
+    std::optional<Heartbeat> own;
     /** Hosts in the store as last read. */
     std::set<HostId> listed;
     TimerId beatTimer;
@@ -140,13 +142,19 @@
 
 void Membership::Private::sendHeartbeats()
 {
-    if (peers.empty()) {
-        return;
-    }
-    const Heartbeat heartbeat = ownHeartbeat();
+    own = ownHeartbeat();
     for (const auto &[host, peer] : peers) {
-        context.sendPeer(host, heartbeat);
+        context.sendPeer(host, *own);
+    }
+}
+
+/** What this host last said of itself; making it anew for each question would cost a pass over all workers. */
+const Heartbeat &Membership::Private::lastOwn()
+{
+    if (!own) {
+        own = ownHeartbeat();
     }
+    return *own;
 }
 
 /** Whether another process answers at the address by now. */
@@ -324,7 +332,7 @@
     const auto consider = [&](const HostId &host) {
         best = std::max(best, std::optional(std::pair(writerScore(shard, host), host)));
     };
-    if (!m_d->left && !m_d->source().leaving) {
+    if (!m_d->left && !m_d->lastOwn().leaving) {
         consider(m_d->self);
     }
     for (const auto &[host, peer] : m_d->peers) {
@@ -345,7 +353,7 @@
             }
         }
     };
-    consider(m_d->source(), m_d->self);
+    consider(m_d->lastOwn(), m_d->self);
     for (const auto &[host, peer] : m_d->peers) {
         if (m_d->isLive(peer)) {
             consider(*peer.heartbeat, host);
--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -38,6 +38,7 @@
     void applyConfiguration(const Configuration &newConfiguration);
     void readShardCount();
     void handleShardCount(const StoreResult &result);
+    void setShardCount(std::uint32_t count);
     void beat();
     void join();
     void checkDrained();
@@ -125,6 +126,7 @@
     heartbeat.peerAddress = options.peerAddress;
     heartbeat.dataCentre = options.dataCentre;
     heartbeat.version = keeper.record() ? keeper.record()->version : ConfigurationVersion(0);
+    heartbeat.shardCount = shardCount.value_or(0);
     heartbeat.leaving = state == "draining" || state == "stopped";
     heartbeat.storeReachable = membership.storeReachable();
     heartbeat.claims = shards.claims();
@@ -156,10 +158,12 @@
         return;
     }
     if (result && !result->entries.empty()) {
-        shardCount = static_cast<std::uint32_t>(std::stoul(result->entries.front().value));
-        shards.setShardCount(*shardCount);
-        updateWorkers();
-        send("configured");
+        const nlohmann::json count = nlohmann::json::parse(result->entries.front().value, nullptr, false);
+        if (count.is_number_unsigned()) {
+            setShardCount(count.get<std::uint32_t>());
+        } else {
+            context.log(LogLevel::Error, "shard_count_unreadable", { { "value", result->entries.front().value } });
+        }
         return;
     }
     if (result) {
@@ -171,10 +175,24 @@
     context.schedule(storeRetry, lifetime.guard([this] { readShardCount(); }));
 }
 
+void Node::Private::setShardCount(std::uint32_t count)
+{
+    if (shardCount || count == 0) {
+        return;
+    }
+    shardCount = count;
+    shards.setShardCount(count);
+    updateWorkers();
+    send("configured");
+}
+
 void Node::Private::beat()
 {
     for (const PeerView &peer : membership.livePeers()) {
         keeper.noteVersion(peer.heartbeat.host, peer.heartbeat.version);
+        if (keeper.record()) {
+            setShardCount(peer.heartbeat.shardCount); // A host that starts with the store down learns it here.
+        }
     }
     updatePeerRooms();
     if (state == "joining") {
@@ -324,9 +342,8 @@
 
 void Node::Private::submit(const SubmitTask &request, std::uint32_t hops, std::function<void(CallerReply)> handler)
 {
-    const bool isFromCaller = hops == 0;
-    if (isFromCaller && state != "serving") {
-        handler(makeReply(ReplyCode::NotRun, state == "draining" ? "draining" : "not-serving"));
+    if (!shardCount) {
+        handler(makeReply(ReplyCode::NotYetKnown, "not-serving"));
         return;
     }
     if (configuration.owner(request.owner) == nullptr) {
--- a/src/libscheduler/peermessage.cpp
+++ b/src/libscheduler/peermessage.cpp
@@ -151,6 +151,9 @@
         Json json = { { "k", heartbeatName },         { "h", message.host },    { "a", message.peerAddress },
                       { "d", message.dataCentre },    { "v", message.version }, { "l", message.leaving },
                       { "s", message.storeReachable } };
+        if (message.shardCount != 0) {
+            json["n"] = message.shardCount;
+        }
         if (!message.claims.empty()) {
             json["c"] = encodeClaims(message.claims);
         }
@@ -214,6 +217,9 @@
     message.version = checkedField<ConfigurationVersion>(json, "v");
     message.leaving = checkedField<bool>(json, "l");
     message.storeReachable = checkedField<bool>(json, "s");
+    if (json.contains("n")) {
+        message.shardCount = checkedField<std::uint32_t>(json, "n");
+    }
     if (const auto claims = json.find("c"); claims != json.end()) {
         message.claims = decodeClaims(*claims);
     }
--- a/src/libscheduler/shardscheduler.cpp
+++ b/src/libscheduler/shardscheduler.cpp
@@ -1,5 +1,6 @@
 #include "shardscheduler.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace currantring {
@@ -23,7 +24,7 @@
               [this] {
                   m_handlers.onFenced();
               } })
-    , m_core { context, m_log, {}, {}, {}, false, true }
+    , m_core { context, m_log, {}, {}, {}, false, {}, {}, true }
     , m_queue(m_core,
               { [this](const AttemptKey &attempt) { m_driver.start(attempt); },
                 [this](const TaskId &) {
@@ -44,6 +45,9 @@
 void ShardScheduler::setConfiguration(const Configuration &configuration)
 {
     m_core.configuration = configuration;
+    m_core.longestMargin = std::max(
+        m_core.longestMargin, configuration.duration(Setting::TaskLease) + configuration.duration(Setting::ClockError));
+    m_core.longestOutage = std::max(m_core.longestOutage, configuration.duration(Setting::OutageTerm));
     const std::chrono::seconds retention(configuration.value(Setting::EndedRetention));
     m_log.setLimits({ configuration.duration(Setting::GroupCommitTick), retention,
                       static_cast<std::uint64_t>(configuration.value(Setting::SnapshotSlots)) });
@@ -201,6 +205,13 @@
     return m_log;
 }
 
+bool ShardScheduler::allWorkersKnowEpoch() const
+{
+    return std::ranges::all_of(m_core.workers, [this](const auto &entry) {
+        return entry.second.knowsEpoch || m_log.ledger().attemptsOn(entry.first).empty();
+    });
+}
+
 CommandFence ShardScheduler::fence() const
 {
     return m_core.fence();
--- a/src/libscheduler/shardscheduler.h
+++ b/src/libscheduler/shardscheduler.h
@@ -50,6 +50,8 @@
 
     [[nodiscard]] bool isActive() const;
     [[nodiscard]] const ShardLog &log() const;
+    /** Whether every worker with an attempt of this shard refuses all earlier writers by now. */
+    [[nodiscard]] bool allWorkersKnowEpoch() const;
     [[nodiscard]] CommandFence fence() const;
     [[nodiscard]] const std::map<WorkerId, WorkerView> &workers() const;
     [[nodiscard]] Resources largestRoom() const;
--- a/src/libscheduler/shardset.cpp
+++ b/src/libscheduler/shardset.cpp
@@ -157,7 +157,9 @@
 {
     ShardScheduler &shard = *m_shards.at(id);
     const Epoch epoch = shard.log().epoch();
-    shard.stop([this, id, epoch](bool committed) {
+    // A worker that hasn't answered this writer may still serve one before it, for which this one can't speak.
+    const Epoch vouched = shard.allWorkersKnowEpoch() ? epoch : Epoch(0);
+    shard.stop([this, id, epoch, vouched](bool committed) {
         if (!committed) {
             return; // It was taken by another; drop() follows from the loss.
         }
@@ -167,7 +169,7 @@
                         { "epoch", std::to_string(epoch.value()) },
                         { "to", successor ? successor->value() : "" } });
         if (successor) {
-            m_context.sendPeer(*successor, HandOver { id, epoch });
+            m_context.sendPeer(*successor, HandOver { id, vouched });
         }
         drop(id);
     });
--- a/src/libscheduler/taskrouter.cpp
+++ b/src/libscheduler/taskrouter.cpp
@@ -86,7 +86,6 @@
 
 void TaskRouter::askShard(ShardScheduler &shard, const JobPointer &job)
 {
-    job->wasSent = true;
     const auto handler = [this, job](const CallerReply &reply) {
         settle(job, reply);
     };
@@ -112,7 +111,6 @@
 
 void TaskRouter::forward(const HostId &peer, const JobPointer &job)
 {
-    job->wasSent = true;
     m_forwards.forward(peer, job->request, job->hops + 1, forwardTimeout,
                        m_lifetime.guard([this, job](const std::optional<CallerReply> &reply) {
                            settle(job, reply.value_or(makeReply(ReplyCode::NotYetKnown, "connection-lost")));
@@ -141,10 +139,7 @@
 
 void TaskRouter::giveUp(const JobPointer &job)
 {
-    if (!job->wasSent && job->hops == 0 && std::holds_alternative<SubmitTask>(job->request)) {
-        job->handler(makeReply(ReplyCode::NotRun, "no-writer")); // It never left this host.
-        return;
-    }
+    // Even a submission that never left this host may have an earlier copy elsewhere, so it isn't called not run.
     job->handler(job->lastReply);
 }
 
--- a/src/libscheduler/taskrouter.h
+++ b/src/libscheduler/taskrouter.h
@@ -38,8 +38,6 @@
         std::uint32_t hops = 0;
         TimePoint deadline {};
         ReplyHandler handler;
-        /** Whether the request may have reached a writer. */
-        bool wasSent = false;
         CallerReply lastReply;
     };
     using JobPointer = std::shared_ptr<Job>;
