Prove the promises of hosts and stories in virtual time

Cause: four promises had no proof, and three of them didn't hold. Change: requests that peers pass on during a drain are served, the endpoints stay until the requests in flight are over, a shard is given up only after the store has answered, a refusal after a try without answer is "not yet known", and the entry host reads the beneficiary's owner from its record.

--- a/src/libscheduler/callerrequest.cpp
+++ b/src/libscheduler/callerrequest.cpp
@@ -51,6 +51,7 @@
         return { { "kind", "evict-task" },
                  { "task", request.task },
                  { "onBehalfOf", request.onBehalfOf },
+                 { "onBehalfOfOwner", request.onBehalfOfOwner },
                  { "reason", request.reason } };
     }
 
@@ -110,7 +111,8 @@
 CallerRequest readEvictTask(const Json &json)
 {
     return EvictTask { checkedField<TaskId>(json, "task"), optionalField<TaskId>(json, "onBehalfOf").value_or(TaskId()),
-                       optionalField<std::string>(json, "reason").value_or(std::string()) };
+                       optionalField<std::string>(json, "reason").value_or(std::string()),
+                       optionalField<OwnerId>(json, "onBehalfOfOwner").value_or(OwnerId()) };
 }
 
 CallerRequest readCallService(const Json &json)
--- a/src/libscheduler/callerrequest.h
+++ b/src/libscheduler/callerrequest.h
@@ -44,6 +44,8 @@
     /** The task on whose behalf it is moved; empty for an operator's wish. */
     TaskId onBehalfOf;
     std::string reason;
+    /** Owner of that task; filled in by the entry host from the task's record, never by a caller. */
+    OwnerId onBehalfOfOwner;
 };
 
 /** Calls a latency-critical service and waits for the whole answer. */
--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -21,6 +21,8 @@
 /** Key that holds the number of shards since the first start of the system. */
 constexpr std::string_view shardCountKey = "ledger/shard-count";
 constexpr Milliseconds storeRetry(500);
+/** Heartbeat intervals after which the peers act on what they were told. */
+constexpr int peersHearWithin = 3;
 /** Interval at which a stopping host looks whether anything is left. */
 constexpr Milliseconds drainInterval(50);
 /** Time beyond a request's deadline in which a peer's reply may still come. */
@@ -72,6 +74,9 @@
     RequestRouter requests;
     ShardSet shards;
     TaskRouter tasks;
+    /** Peers have heard of the planned stop by then. */
+    TimePoint releaseFrom {};
+    bool isReleasing = false;
     bool shardsReleased = false;
     bool left = false;
     Lifetime lifetime;
@@ -180,7 +185,7 @@
     if (state == "joining") {
         join();
     }
-    if (state == "serving" || state == "draining") {
+    if (state == "serving" || isReleasing) {
         shards.balance();
     }
     context.schedule(configuration.duration(Setting::HeartbeatInterval), lifetime.guard([this] { beat(); }));
@@ -355,6 +360,11 @@
 
 void Node::Private::checkDrained()
 {
+    // The endpoints go with the shards, so the requests in flight come first, with those that peers still pass on.
+    if (!isReleasing && context.now() >= releaseFrom && requests.inFlight() == 0) {
+        isReleasing = true;
+        shards.releaseAll(lifetime.guard([this] { shardsReleased = true; }));
+    }
     const bool isIdle = callers.empty() && requests.inFlight() == 0 && forwards.size() == 0;
     if (!isIdle || !shardsReleased) {
         context.schedule(drainInterval, lifetime.guard([this] { checkDrained(); }));
@@ -394,7 +404,7 @@
     d->send("stop");
     d->requests.beginDrain();
     d->membership.announce();
-    d->shards.releaseAll(d->lifetime.guard([this] { d->shardsReleased = true; }));
+    d->releaseFrom = d->context.now() + peersHearWithin * d->configuration.duration(Setting::HeartbeatInterval);
     d->checkDrained();
 }
 
--- a/src/libscheduler/requestrouter.cpp
+++ b/src/libscheduler/requestrouter.cpp
@@ -94,9 +94,10 @@
     if (joinEarlierCopy(request, handler)) {
         return;
     }
-    const std::string_view reason = draining     ? requestreason::draining
-        : callerTime(request) <= Milliseconds(0) ? requestreason::deadlineTooShort
-                                                 : std::string_view();
+    // Peers pass on requests until they hear of the drain; those were taken already and are served.
+    const std::string_view reason = draining && isEntry ? requestreason::draining
+        : callerTime(request) <= Milliseconds(0)        ? requestreason::deadlineTooShort
+                                                        : std::string_view();
     if (!reason.empty()) {
         context.count("requests_refused", std::string(reason));
         handler(makeOutcome(ReplyCode::NotRun, reason));
@@ -240,7 +241,7 @@
                 hosts.push_back(peer.host);
             }
         }
-        if (!draining && endpoints.serves(service)) {
+        if (endpoints.serves(service)) {
             hosts.push_back(self);
         }
         homes.setHosts(context.now(), repeatWindow(), service, std::move(hosts), provenFresh && peerRooms.empty());
@@ -316,7 +317,6 @@
 void RequestRouter::beginDrain()
 {
     m_d->draining = true;
-    m_d->followHosts(false);
 }
 
 std::size_t RequestRouter::inFlight() const
--- a/src/libscheduler/shardscheduler.cpp
+++ b/src/libscheduler/shardscheduler.cpp
@@ -182,8 +182,18 @@
 
 void ShardScheduler::stop(std::function<void(bool)> done)
 {
-    m_stopping = true;
-    m_log.stop(std::move(done));
+    if (std::exchange(m_stopAsked, true)) {
+        return;
+    }
+    // Nobody can take the shard over while the store is down, and until then this host renews the leases.
+    m_log.checkWriter(m_lifetime.guard([this, done = std::move(done)](WriterCheck verdict) {
+        if (verdict != WriterCheck::StillWriter || m_log.state() != ShardLog::State::Active) {
+            m_stopAsked = false;
+            return;
+        }
+        m_stopping = true;
+        m_log.stop(done);
+    }));
 }
 
 TaskDesk &ShardScheduler::desk()
--- a/src/libscheduler/shardscheduler.h
+++ b/src/libscheduler/shardscheduler.h
@@ -40,7 +40,10 @@
     void setOutageRenewals(bool allowed);
     /** Takes the shard over; @p handedOver is the epoch whose writer said that it has stopped, if one did. */
     void claim(std::optional<Epoch> handedOver);
-    /** Commits what is pending and gives the shard up. */
+    /**
+     * Commits what is pending and gives the shard up; @p done gets whether all of it was committed. When the store
+     * gives no answer nothing is done, and the call may be repeated; while one is under way another does nothing.
+     */
     void stop(std::function<void(bool committed)> done);
 
     /** Callers' requests and moves. Precondition: isActive(). */
@@ -73,6 +76,7 @@
     std::map<TaskId, TimePoint> m_nextMoveSend;
     std::optional<Epoch> m_handedOver;
     bool m_pumpScheduled = false;
+    bool m_stopAsked = false;
     bool m_stopping = false;
 };
 
--- a/src/libscheduler/taskdesk.cpp
+++ b/src/libscheduler/taskdesk.cpp
@@ -178,10 +178,8 @@
         handler(makeReply(ReplyCode::Invalid, "the task isn't running"));
         return;
     }
-    const TaskState *beneficiary = m_core.log.ledger().find(request.onBehalfOf);
-    const OwnerId beneficiaryOwner = beneficiary == nullptr ? OwnerId() : beneficiary->owner;
     const EvictionRequested record { AttemptKey { task->id, task->attempt->number }, task->attempt->worker,
-                                     request.reason, request.onBehalfOf, beneficiaryOwner };
+                                     request.reason, request.onBehalfOf, request.onBehalfOfOwner };
     appendChange(record, task->id, "checkpointing", std::move(handler));
 }
 
--- a/src/libscheduler/taskrouter.cpp
+++ b/src/libscheduler/taskrouter.cpp
@@ -42,6 +42,11 @@
 
 void TaskRouter::handle(const CallerRequest &request, std::uint32_t hops, ReplyHandler handler)
 {
+    const auto *evict = std::get_if<EvictTask>(&request);
+    if (evict != nullptr && hops == 0 && !evict->onBehalfOf.value().empty() && evict->onBehalfOfOwner.value().empty()) {
+        nameBeneficiary(*evict, std::move(handler));
+        return;
+    }
     const auto job = std::make_shared<Job>();
     job->request = request;
     job->task = taskOfRequest(request);
@@ -52,6 +57,20 @@
     attempt(job);
 }
 
+void TaskRouter::nameBeneficiary(const EvictTask &evict, ReplyHandler handler)
+{
+    handle(ReadTask { evict.onBehalfOf }, 0, [this, evict, handler = std::move(handler)](const CallerReply &reply) {
+        if (reply.code != ReplyCode::Ok) {
+            const bool isUnknown = reply.code == ReplyCode::NotFound;
+            handler(isUnknown ? makeReply(ReplyCode::Invalid, "the task on whose behalf has no record") : reply);
+            return;
+        }
+        EvictTask named = evict;
+        named.onBehalfOfOwner = nlohmann::json::parse(reply.body).at("owner").get<OwnerId>();
+        handle(named, 0, handler);
+    });
+}
+
 ShardId TaskRouter::targetShard(const TaskId &task) const
 {
     const ShardId home = homeShard(task, m_shards.shardCount());
@@ -121,12 +140,15 @@
 
 void TaskRouter::settle(const JobPointer &job, const CallerReply &reply)
 {
-    const bool mayChange = reply.code == ReplyCode::NotYetKnown;
+    // A refusal tells of one try only: an earlier one without an answer may have been taken.
+    const bool isDenial = reply.code == ReplyCode::NotRun && job->mayBeTaken;
+    const bool mayChange = reply.code == ReplyCode::NotYetKnown || isDenial;
     if (!mayChange || job->hops > 0) {
         job->handler(reply); // A host that was asked by a peer leaves further tries to it.
         return;
     }
-    job->lastReply = reply;
+    job->mayBeTaken = true;
+    job->lastReply = isDenial ? makeReply(ReplyCode::NotYetKnown, "an earlier try has no answer") : reply;
     retry(job);
 }
 
--- a/src/libscheduler/taskrouter.h
+++ b/src/libscheduler/taskrouter.h
@@ -40,10 +40,14 @@
         ReplyHandler handler;
         /** Whether the request may have reached a writer. */
         bool wasSent = false;
+        /** Whether some try got no definite answer, so that a submission may have been taken by a writer. */
+        bool mayBeTaken = false;
         CallerReply lastReply;
     };
     using JobPointer = std::shared_ptr<Job>;
 
+    /** Finds out whose task an eviction is for, since its record may be in another shard, and goes on with it. */
+    void nameBeneficiary(const EvictTask &evict, ReplyHandler handler);
     void attempt(const JobPointer &job);
     void askShard(ShardScheduler &shard, const JobPointer &job);
     void forward(const HostId &peer, const JobPointer &job);
--- a/tests/libscheduler/randomschedule.cpp
+++ b/tests/libscheduler/randomschedule.cpp
@@ -94,7 +94,7 @@
             m_cluster.send(anyHost(), CancelTask { anyTask(), "random" });
             break;
         case 5:
-            m_cluster.send(anyHost(), EvictTask { anyTask(), {}, "random" });
+            m_cluster.send(anyHost(), EvictTask { anyTask(), {}, "random", {} });
             break;
         case 6:
             m_cluster.send(anyHost(), ReadAccount { anyTask() });
--- a/tests/libscheduler/testcodecs.cpp
+++ b/tests/libscheduler/testcodecs.cpp
@@ -22,7 +22,7 @@
         ReadTask { TaskId("t") },
         ReadAccount { TaskId("t") },
         CancelTask { TaskId("t"), "no longer needed" },
-        EvictTask { TaskId("t"), TaskId("u"), "disturbs" },
+        EvictTask { TaskId("t"), TaskId("u"), "disturbs", OwnerId("beta") },
         call,
         plainCall,
         ApplyConfiguration { ChangeId("c"), "ada", ConfigurationVersion(7), "[defaults]" },
--- a/tests/libscheduler/virtualcluster.cpp
+++ b/tests/libscheduler/virtualcluster.cpp
@@ -372,7 +372,9 @@
     at(m_now + latency(), [this, &host, action, sentAt = m_now] {
         const StandinEndpointCall call = m_platform->callEndpoint(action.request, m_now);
         record("endpoint " + action.request.worker.value() + " " + action.request.request.value()
-               + (call.result ? " run" : " refused"));
+               + (call.result                                    ? " run"
+                      : call.delivery == StandinDelivery::Silent ? " unheard"
+                                                                 : " refused"));
         if (!call.result && call.result.error().reason == RefusalReason::NoRoom) {
             violation("endpoint " + action.request.worker.value() + " was asked for more slots than it has");
         }
