--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -21,6 +21,8 @@
 /** Key that holds the number of shards since the first start of the system. */
 constexpr std::string_view shardCountKey = "ledger/shard-count";
 constexpr Milliseconds storeRetry(500);
+/** Heartbeat intervals after which the peers act on what they were told. */
+constexpr int peersHearWithin = 3;
 /** Interval at which a stopping host looks whether anything is left. */
 constexpr Milliseconds drainInterval(50);
 /** Time beyond a request's deadline in which a peer's reply may still come. */
@@ -73,6 +75,9 @@
     RequestRouter requests;
     ShardSet shards;
     TaskRouter tasks;
+    /** Peers have heard of the planned stop by then. */
+    TimePoint releaseFrom {};
+    bool isReleasing = false;
     bool shardsReleased = false;
     bool left = false;
     Lifetime lifetime;
@@ -198,7 +203,7 @@
     if (state == "joining") {
         join();
     }
-    if (state == "serving" || state == "draining") {
+    if (state == "serving" || isReleasing) {
         shards.balance();
     }
     context.schedule(configuration.duration(Setting::HeartbeatInterval), lifetime.guard([this] { beat(); }));
@@ -372,6 +377,11 @@
 
 void Node::Private::checkDrained()
 {
+    // The endpoints go with the shards, so the requests in flight come first, with those that peers still pass on.
+    if (!isReleasing && context.now() >= releaseFrom && requests.inFlight() == 0) {
+        isReleasing = true;
+        shards.releaseAll(lifetime.guard([this] { shardsReleased = true; }));
+    }
     const bool isIdle = callers.empty() && requests.inFlight() == 0 && forwards.size() == 0;
     if (!isIdle || !shardsReleased) {
         context.schedule(drainInterval, lifetime.guard([this] { checkDrained(); }));
@@ -411,7 +421,7 @@
     m_d->send("stop");
     m_d->requests.beginDrain();
     m_d->membership.announce();
-    m_d->shards.releaseAll(m_d->lifetime.guard([this] { m_d->shardsReleased = true; }));
+    m_d->releaseFrom = m_d->context.now() + peersHearWithin * m_d->configuration.duration(Setting::HeartbeatInterval);
     m_d->checkDrained();
 }
 
