Pass requests on to their former home after a join

Cause: the record of a non-idempotent request stays at its home when the hosts change. A new home answered "home-changed" for the whole window (7 s with the built-in settings) to everything that it didn't know, also to what never ran; so did all hosts of a fleet that started together.

Ruled out: sending records to the new home (a transfer to several hosts that must be whole before the first answer), records in the key-value service (a write for each request, none in an outage), and asking the former home only whether it knows the request (a lost reply binds both). See docs/design/request-homes.md.

Change: in its first window a new home passes a request on to the home before it, which runs it if its own views say that it may; the new home remembers the outcome. CallService carries the hosts that passed it on and for how long the last one has been the home. Hosts that start the system together agree by one vote each that nobody has run a request (FirstStart). A heartbeat that changes a peer's services is taken in at once.

--- a/src/libscheduler/callerrequest.cpp
+++ b/src/libscheduler/callerrequest.cpp
@@ -67,6 +67,10 @@
         if (request.timeout) {
             json["timeoutMs"] = std::clamp<std::int64_t>(request.timeout->count(), 0, longestDurationMs);
         }
+        if (!request.ask.askedBy.empty()) {
+            json["askedBy"] = request.ask.askedBy;
+            json["homeForMs"] = std::clamp<std::int64_t>(request.ask.homeFor.count(), 0, longestDurationMs);
+        }
         return json;
     }
 
@@ -124,6 +128,12 @@
     if (const auto timeout = optionalField<std::int64_t>(json, "timeoutMs")) {
         request.timeout = checkedDuration(*timeout);
     }
+    if (const auto askedBy = json.find("askedBy"); askedBy != json.end()) {
+        for (const Json &host : askedBy->get_ref<const Json::array_t &>()) {
+            request.ask.askedBy.push_back(checkedValue<HostId>(host));
+        }
+        request.ask.homeFor = checkedDuration(checkedField<std::int64_t>(json, "homeForMs"));
+    }
     return request;
 }
 
--- a/src/libscheduler/callerrequest.h
+++ b/src/libscheduler/callerrequest.h
@@ -46,6 +46,15 @@
     std::string reason;
 };
 
+/** Says that hosts ask the receiver as a request's former home. */
+struct FormerHomeAsk
+{
+    /** The hosts that passed the request on, each as the home after the next one; empty for a plain request. */
+    std::vector<HostId> askedBy;
+    /** Time for which the last of them has been the home in its own view. */
+    Milliseconds homeFor {};
+};
+
 /** Calls a latency-critical service and waits for the whole answer. */
 struct CallService
 {
@@ -57,6 +66,8 @@
     std::string body;
     /** Time left until the caller gives up; nullopt takes the service's deadline. */
     std::optional<Milliseconds> timeout;
+    /** Set between hosts only; see RequestHomes. */
+    FormerHomeAsk ask = {};
 };
 
 /** Replaces the configuration document made against a version. */
--- a/src/libscheduler/endpointhealth.cpp
+++ b/src/libscheduler/endpointhealth.cpp
@@ -1,18 +1,18 @@
 #include "endpointhealth.h"
 
-#include "retrybudget.h"
-
 namespace currantring {
 
 namespace {
 
-constexpr BackoffLimits probeBackoff { Milliseconds(250), Milliseconds(30000) };
+constexpr Milliseconds shortestProbeWait { 250 };
+constexpr Milliseconds longestProbeWait { 30000 };
 
 } // namespace
 
 EndpointHealth::EndpointHealth(const Chart &chart)
     : m_chart(&chart)
     , m_state(chart.initial())
+    , m_backoff(shortestProbeWait, longestProbeWait)
 {
 }
 
@@ -32,7 +32,7 @@
     if (m_state != "probing") {
         return false;
     }
-    m_backoff = Milliseconds(0);
+    m_backoff.reset();
     return apply("recover");
 }
 
@@ -43,8 +43,7 @@
     if (!wasProbing && (m_state != "live" || m_failures < failuresToShed)) {
         return false;
     }
-    m_backoff = nextBackoff(random, probeBackoff, m_backoff);
-    m_probeAt = now + m_backoff;
+    m_probeAt = now + m_backoff.next(random);
     return apply("fail");
 }
 
@@ -74,7 +73,7 @@
 {
     if (m_state == "probing") {
         apply("fail");
-        m_probeAt = now + probeBackoff.base;
+        m_probeAt = now + shortestProbeWait;
     }
 }
 
--- a/src/libscheduler/endpointhealth.h
+++ b/src/libscheduler/endpointhealth.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backoff.h"
 #include "chart.h"
 #include "random.h"
 #include "units.h"
@@ -51,7 +52,7 @@
     const Chart *m_chart;
     std::string m_state;
     std::uint32_t m_failures = 0;
-    Milliseconds m_backoff {};
+    Backoff m_backoff;
     TimePoint m_probeAt {};
 };
 
--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -46,6 +46,7 @@
     [[nodiscard]] Heartbeat makeHeartbeat() const;
     void updateWorkers();
     void updatePeerRooms();
+    [[nodiscard]] std::optional<std::vector<std::uint64_t>> firstStartVotes() const;
     void addEndpoints(const ShardScheduler &shard);
     void removeEndpoints(const ShardScheduler &shard);
     void sendMove(const TaskMove &move);
@@ -129,6 +130,7 @@
     heartbeat.storeReachable = membership.storeReachable();
     heartbeat.claims = shards.claims();
     heartbeat.rooms = requests.rooms();
+    heartbeat.startVote = requests.startVote();
     return heartbeat;
 }
 
@@ -225,6 +227,29 @@
         }
     }
     requests.setPeerRooms(std::move(rooms));
+    requests.followFirstStart(firstStartVotes());
+}
+
+std::optional<std::vector<std::uint64_t>> Node::Private::firstStartVotes() const
+{
+    std::vector<ShardClaim> claims = shards.claims();
+    std::vector<std::uint64_t> votes;
+    for (const PeerView &peer : membership.livePeers()) {
+        const Heartbeat &heartbeat = peer.heartbeat;
+        claims.insert(claims.end(), heartbeat.claims.begin(), heartbeat.claims.end());
+        if (!heartbeat.claims.empty()) {
+            votes.push_back(heartbeat.startVote);
+        }
+    }
+    std::set<ShardId> written;
+    for (const ShardClaim &claim : claims) {
+        if (claim.epoch != Epoch(1)) {
+            return std::nullopt;
+        }
+        written.insert(claim.shard);
+    }
+    const bool isWhole = shardCount && written.size() == *shardCount;
+    return isWhole ? std::optional(std::move(votes)) : std::nullopt;
 }
 
 void Node::Private::addEndpoints(const ShardScheduler &shard)
@@ -418,6 +443,8 @@
     if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
         d->membership.handleHeartbeat(*heartbeat);
         d->keeper.noteVersion(heartbeat->host, heartbeat->version);
+        d->requests.notePeerServices(heartbeat->host,
+                                     heartbeat->leaving ? std::nullopt : std::optional(heartbeat->rooms));
     } else if (const auto *forward = std::get_if<ForwardRequest>(&message)) {
         d->handleForward(*forward);
     } else if (const auto *reply = std::get_if<ForwardReply>(&message)) {
--- a/src/libscheduler/peermessage.cpp
+++ b/src/libscheduler/peermessage.cpp
@@ -157,6 +157,9 @@
         if (!message.rooms.empty()) {
             json["r"] = encodeRooms(message.rooms);
         }
+        if (message.startVote != 0) {
+            json["f"] = message.startVote;
+        }
         return json;
     }
 
@@ -220,6 +223,7 @@
     if (const auto rooms = json.find("r"); rooms != json.end()) {
         message.rooms = decodeRooms(*rooms);
     }
+    message.startVote = optionalField<std::uint64_t>(json, "f").value_or(0);
     return message;
 }
 
--- a/src/libscheduler/peermessage.h
+++ b/src/libscheduler/peermessage.h
@@ -44,6 +44,8 @@
     bool storeReachable = true;
     std::vector<ShardClaim> claims;
     std::vector<ServiceRoom> rooms;
+    /** The host's vote at the system's first start; 0 when it has none. See FirstStart. */
+    std::uint64_t startVote = 0;
 };
 
 /** Token by which a host matches the reply to a request that it forwarded. */
--- a/src/libscheduler/requestdispatch.cpp
+++ b/src/libscheduler/requestdispatch.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr BackoffLimits retryBackoff { Milliseconds(5), Milliseconds(250) };
 /** Time that a peer's reply needs at most on its way, as a rule. */
 constexpr Milliseconds longestReplyMargin { 10 };
 /** Shortest wait before waiting requests are looked at again without an event. */
@@ -22,6 +21,17 @@
     return room == peer.rooms.end() ? nullptr : &*room;
 }
 
+HomeKey homeKeyOf(const CallService &request)
+{
+    return HomeKey { request.service, request.owner, request.request };
+}
+
+bool isHomeChanged(const CallerReply &reply)
+{
+    return reply.code == ReplyCode::OutcomeUnknown
+        && reply.body == makeOutcome(reply.code, requestreason::homeChanged).body;
+}
+
 } // namespace
 
 void RequestRouter::Private::dispatch(std::uint64_t number)
@@ -63,12 +73,11 @@
 
 void RequestRouter::Private::dispatchNonIdempotent(Flight &flight)
 {
-    const CallService &request = flight.request;
-    const auto home = homes.home(request.service, request.owner, request.request);
+    const auto home = homes.home(homeKeyOf(flight.request));
     if (!home) {
         finishNotRun(flight.number, requestreason::noEndpoint);
     } else if (*home != self && flight.isEntry) {
-        forward(flight, *home);
+        mayHoldOldCopies() ? finishUnknown(flight.number, requestreason::homeChanged) : forward(flight, *home);
     } else {
         dispatchAsHome(flight);
     }
@@ -77,18 +86,41 @@
 void RequestRouter::Private::dispatchAsHome(Flight &flight)
 {
     const CallService &request = flight.request;
-    const bool isKnown = isPeerViewFresh()
-        && homes.wasHomeThroughout(context.now(), repeatWindow(), request.service, request.owner, request.request);
-    if (!isKnown) {
+    const bool isAsked = !request.ask.askedBy.empty();
+    if (!isPeerViewFresh(isAsked)) {
         finishUnknown(flight.number, requestreason::homeChanged);
+    } else if (!homes.mayRun(context.now(), repeatBounds(), homeKeyOf(request), request.ask)) {
+        askFormerHome(flight);
     } else if (!record.hasRoom(context.now(), runningNonIdempotent)) {
         finishNotRun(flight.number, requestreason::recordFull);
     } else {
         flight.isHome = true;
+        firstStart.noteRun();
         serveHere(flight);
     }
 }
 
+void RequestRouter::Private::askFormerHome(Flight &flight)
+{
+    const auto former = homes.formerHome(context.now(), homeKeyOf(flight.request), flight.request.ask);
+    const bool isLive = former && std::any_of(peerRooms.begin(), peerRooms.end(), [&former](const PeerRoom &peer) {
+                            return peer.host == former->first;
+                        });
+    if (!isLive) {
+        finishUnknown(flight.number, requestreason::homeChanged);
+        return;
+    }
+    if (!record.hasRoom(context.now(), runningNonIdempotent)) {
+        // An earlier copy may have run at the former home, so that this isn't a plain "not run".
+        finishUnknown(flight.number, requestreason::recordFull);
+        return;
+    }
+    context.count("requests_asked_of_former_home");
+    flight.isHome = true;
+    flight.request.ask = former->second;
+    forward(flight, former->first);
+}
+
 void RequestRouter::Private::serveHere(Flight &flight)
 {
     const CallService &request = flight.request;
@@ -136,7 +168,7 @@
                                request.service, request.request,   request.body,
                                remaining };
     context.callEndpoint(std::move(outgoing),
-                         guarded([this, send](const EndpointResult &result) { handleResult(send, result); }));
+                         lifetime.guard([this, send](const EndpointResult &result) { handleResult(send, result); }));
     return true;
 }
 
@@ -152,7 +184,7 @@
     const Milliseconds remaining = flight.deadline - context.now();
     outgoing.timeout = remaining - std::min(remaining / 10, longestReplyMargin);
     forwarder(peer, outgoing,
-              guarded([this, number, send](const CallerReply &reply) { handlePeerReply(number, send, reply); }));
+              lifetime.guard([this, number, send](const CallerReply &reply) { handlePeerReply(number, send, reply); }));
 }
 
 void RequestRouter::Private::handlePeerReply(std::uint64_t number, std::uint32_t send, const CallerReply &reply)
@@ -163,6 +195,8 @@
         return;
     }
     const bool mayHaveRun = reply.code == ReplyCode::OutcomeUnknown || reply.code == ReplyCode::NotYetKnown;
+    // The former home ran no copy now, and what it ran earlier isn't known: nothing to remember.
+    flight->isHome = flight->isHome && !isHomeChanged(reply);
     flight->mayHaveRun = flight->mayHaveRun || mayHaveRun;
     if (flight->idempotent && (mayHaveRun || reply.code == ReplyCode::NotRun)) {
         retry(*flight, mayHaveRun ? requestreason::connectionLost : requestreason::endpointRefused);
@@ -213,8 +247,8 @@
 {
     const CallService &request = flight.request;
     flight.phase = FlightPhase::BackingOff;
-    flight.backoff = nextBackoff(context.random(), retryBackoff, flight.backoff);
-    if (context.now() + flight.backoff >= flight.deadline) {
+    const Milliseconds wait = flight.backoff.next(context.random());
+    if (context.now() + wait >= flight.deadline) {
         finishNotRun(flight.number, reason);
         return;
     }
@@ -224,8 +258,7 @@
         return;
     }
     context.count("requests_retried", std::string(reason));
-    flight.backoffTimer =
-        context.schedule(flight.backoff, guarded([this, number = flight.number] { dispatch(number); }));
+    flight.backoffTimer = context.schedule(wait, lifetime.guard([this, number = flight.number] { dispatch(number); }));
 }
 
 void RequestRouter::Private::pump()
@@ -312,10 +345,10 @@
     }
     if (next) {
         const Milliseconds delay = std::max(*next - context.now(), shortestWake);
-        wakeTimer = context.schedule(delay, guarded([this] {
-                                         wakeTimer.reset();
-                                         pump();
-                                     }));
+        wakeTimer = context.schedule(delay, lifetime.guard([this] {
+            wakeTimer.reset();
+            pump();
+        }));
     }
 }
 
--- a/src/libscheduler/requestrouter.cpp
+++ b/src/libscheduler/requestrouter.cpp
@@ -7,6 +7,12 @@
 
 namespace currantring {
 
+namespace {
+
+constexpr int heartbeatsBeforeVote = 3;
+
+} // namespace
+
 RequestRouter::Private::Private(Context &routerContext, const Chart &chart, HostId host, Forwarder routerForwarder)
     : context(routerContext)
     , self(std::move(host))
@@ -33,18 +39,25 @@
     endpoints.setLimits(limits);
 }
 
-Milliseconds RequestRouter::Private::repeatWindow() const
+RepeatBounds RequestRouter::Private::repeatBounds() const
 {
     const EndpointLimits &limits = endpoints.limits();
-    return 2 * limits.longestDeadline + limits.clockError + configuration.duration(Setting::PeerSilence);
+    const Milliseconds viewError = limits.clockError + configuration.duration(Setting::PeerSilence);
+    return RepeatBounds { 2 * limits.longestDeadline + viewError, viewError };
 }
 
-bool RequestRouter::Private::isPeerViewFresh() const
+bool RequestRouter::Private::isPeerViewFresh(bool alsoAlone) const
 {
-    return peerRooms.empty() || !peersHeardAt
+    return (peerRooms.empty() && !alsoAlone) || !peersHeardAt
         || *peersHeardAt + configuration.duration(Setting::PeerSilence) >= context.now();
 }
 
+bool RequestRouter::Private::mayHoldOldCopies() const
+{
+    return !isPeerViewFresh(true)
+        || (resumedAt && *resumedAt + configuration.duration(Setting::HeartbeatInterval) > context.now());
+}
+
 Flight *RequestRouter::Private::find(std::uint64_t number)
 {
     const auto flight = flights.find(number);
@@ -106,11 +119,29 @@
     dispatch(open(request, isEntry, std::move(handler)).number);
 }
 
+Flight *RequestRouter::Private::findRunning(const CallService &request)
+{
+    const RequestKey key { request.owner, request.request };
+    for (const auto *copies : { &runningAsked, &running }) {
+        const auto copy = copies->find(key);
+        if (copy == copies->end()) {
+            continue;
+        }
+        Flight &flight = flights.at(copy->second);
+        // What was passed to the present home, which now asks back, would wait for itself.
+        const bool waitsForAsker = flight.phase == FlightPhase::Forwarded && !flight.isHome;
+        if (request.ask.askedBy.empty() || !waitsForAsker) {
+            return &flight;
+        }
+    }
+    return nullptr;
+}
+
 bool RequestRouter::Private::joinEarlierCopy(const CallService &request, ReplyHandler &handler)
 {
     const RequestKey key { request.owner, request.request };
-    if (const auto first = running.find(key); first != running.end()) {
-        joinCaller(flights.at(first->second), callerTime(request), std::move(handler));
+    if (Flight *first = findRunning(request)) {
+        joinCaller(*first, callerTime(request), std::move(handler));
         context.count("requests_joined", "in-flight");
         return true;
     }
@@ -131,9 +162,9 @@
             once(reply);
         }
     };
-    const TimerId timer = context.schedule(
-        remaining,
-        guarded([answerOnce] { answerOnce(makeOutcome(ReplyCode::OutcomeUnknown, requestreason::deadlinePassed)); }));
+    const TimerId timer = context.schedule(remaining, lifetime.guard([answerOnce] {
+        answerOnce(makeOutcome(ReplyCode::OutcomeUnknown, requestreason::deadlinePassed));
+    }));
     flight.callers.push_back(WaitingCaller { answerOnce, timer });
 }
 
@@ -147,9 +178,11 @@
     flight.isEntry = isEntry;
     flight.arrived = context.now();
     flight.deadline = context.now() + callerTime(request);
-    flight.deadlineTimer = context.schedule(callerTime(request), guarded([this, number] { deadlinePassed(number); }));
+    flight.deadlineTimer =
+        context.schedule(callerTime(request), lifetime.guard([this, number] { deadlinePassed(number); }));
     flight.callers.push_back(WaitingCaller { std::move(handler), std::nullopt });
-    running.emplace(RequestKey { request.owner, request.request }, number);
+    const RequestKey key { request.owner, request.request };
+    (running.contains(key) ? runningAsked : running).emplace(key, number);
     runningNonIdempotent += flight.idempotent ? 0 : 1;
     return flight;
 }
@@ -162,7 +195,11 @@
     }
     Flight &flight = node.mapped();
     const RequestKey key { flight.request.owner, flight.request.request };
-    running.erase(key);
+    for (auto *copies : { &running, &runningAsked }) {
+        if (const auto copy = copies->find(key); copy != copies->end() && copy->second == number) {
+            copies->erase(copy);
+        }
+    }
     runningNonIdempotent -= flight.idempotent ? 0 : 1;
     context.cancel(flight.deadlineTimer);
     if (flight.backoffTimer) {
@@ -173,8 +210,9 @@
     }
     const TimePoint now = context.now();
     // A request that was passed on is remembered by its home alone, which may learn more of it than this host.
-    if (flight.isHome && reply.code != ReplyCode::NotRun) {
-        record.remember(now, key, reply, now + repeatWindow());
+    const bool mayHaveRun = reply.code == ReplyCode::Ok || reply.code == ReplyCode::OutcomeUnknown;
+    if (flight.isHome && mayHaveRun) {
+        record.remember(now, key, reply, now + repeatBounds().window);
     }
     if (flight.isEntry && reply.code == ReplyCode::Ok) {
         context.observe("request_duration", flight.request.owner, "service", now - flight.arrived);
@@ -243,7 +281,8 @@
         if (!draining && endpoints.serves(service)) {
             hosts.push_back(self);
         }
-        homes.setHosts(context.now(), repeatWindow(), service, std::move(hosts), provenFresh && peerRooms.empty());
+        homes.setHosts(context.now(), repeatBounds().window, service, std::move(hosts),
+                       provenFresh && peerRooms.empty());
     }
     followedServices = std::move(services);
 }
@@ -264,14 +303,64 @@
 void RequestRouter::setPeerRooms(std::vector<PeerRoom> rooms)
 {
     const TimePoint now = m_d->context.now();
-    if (!m_d->isPeerViewFresh()) {
+    if (!m_d->isPeerViewFresh(true)) {
+        m_d->resumedAt = now;
+    }
+    if (!m_d->isPeerViewFresh(false)) {
         m_d->homes.forgetHistory(now);
+        m_d->firstStart.close();
     }
     m_d->peersHeardAt = now;
     m_d->peerRooms = std::move(rooms);
     m_d->followHosts(false);
 }
 
+void RequestRouter::notePeerServices(const HostId &peer, const std::optional<std::vector<ServiceRoom>> &rooms)
+{
+    std::vector<PeerRoom> &known = m_d->peerRooms;
+    const auto entry =
+        std::find_if(known.begin(), known.end(), [&peer](const PeerRoom &room) { return room.host == peer; });
+    const bool isKnown = entry != known.end();
+    const bool isSame = isKnown == rooms.has_value()
+        && (!isKnown
+            || std::equal(
+                entry->rooms.begin(), entry->rooms.end(), rooms->begin(), rooms->end(),
+                [](const ServiceRoom &left, const ServiceRoom &right) { return left.service == right.service; }));
+    // After a pause the next setPeerRooms() must see it first.
+    if (isSame || peer == m_d->self || !m_d->isPeerViewFresh(true)) {
+        return;
+    }
+    if (isKnown) {
+        known.erase(entry);
+    }
+    if (rooms) {
+        known.push_back(PeerRoom { peer, *rooms });
+    }
+    m_d->followHosts(false);
+}
+
+void RequestRouter::followFirstStart(const std::optional<std::vector<std::uint64_t>> &othersVotes)
+{
+    if (!othersVotes || m_d->draining) {
+        return;
+    }
+    // Hosts that vote before they have heard each other don't agree, and then wait for a whole window.
+    const Milliseconds calm = heartbeatsBeforeVote * m_d->configuration.duration(Setting::HeartbeatInterval);
+    if (m_d->homes.lastChange() + calm <= m_d->context.now()) {
+        m_d->firstStart.cast(m_d->context.now(), m_d->homes.viewDigest());
+    }
+    if (const auto start = m_d->firstStart.agree(*othersVotes)) {
+        m_d->homes.startFrom(*start);
+        m_d->context.log(LogLevel::Info, "first_start_agreed",
+                         { { "writers", std::to_string(othersVotes->size() + 1) } });
+    }
+}
+
+std::uint64_t RequestRouter::startVote() const
+{
+    return m_d->firstStart.vote();
+}
+
 void RequestRouter::addEndpoint(const WorkerInfo &worker, CommandFence fence, bool freshlyKnown)
 {
     const bool isNew = m_d->endpoints.add(worker, fence, freshlyKnown);
@@ -305,7 +394,9 @@
 
 void RequestRouter::handleCall(const CallService &request, ReplyHandler handler)
 {
-    m_d->handle(request, true, std::move(handler));
+    CallService plain = request;
+    plain.ask = {};
+    m_d->handle(plain, true, std::move(handler));
 }
 
 void RequestRouter::handleForwarded(const CallService &request, ReplyHandler handler)
--- a/src/libscheduler/requestrouter.h
+++ b/src/libscheduler/requestrouter.h
@@ -30,11 +30,12 @@
  * speaks of the copy that it answers and isn't remembered: a repeat after it is a new request.
  *
  * What this protects: repeats through any entry host that come within twice the longest request deadline of the first
- * copy, also over a change of hosts: a host that wasn't the home in each of its views for that time, plus the time in
- * which the hosts' views may differ (peer silence and clock error), runs no request that it doesn't know, and answers
- * OutcomeUnknown ("home-changed"). So after a host joins or goes, the requests whose home changed aren't served for
- * that time. What it doesn't protect: later repeats, and hosts whose views differ for longer (a lasting partition
- * with callers on both sides), but for the endpoints' refusal of a superseded writer.
+ * copy, also over a change of hosts. A host that has become a request's home passes it on to the former home until it
+ * knows every copy that may still be repeated; RequestHomes has the rule and the argument. When the former home is
+ * gone, the answer for that time is OutcomeUnknown ("home-changed"). Hosts that start the system together agree first
+ * that none has run a request (FirstStart). What it doesn't protect: later repeats, and hosts whose views differ for
+ * longer than peer silence and clock error (a lasting partition with callers on both sides), but for the endpoints'
+ * refusal of a superseded writer. Requests that may have waited at an entry host through a pause aren't passed on.
  *
  * Idempotent requests that come twice at once to one host share one outcome, and aren't remembered afterwards.
  * Thread safety: one thread at a time.
@@ -68,6 +69,19 @@
      * pause longer than the peer silence counts as a pause of this process, after which it must earn its homes anew.
      */
     void setPeerRooms(std::vector<PeerRoom> rooms);
+    /**
+     * A heartbeat just came from @p peer; @p rooms is nullopt when it leaves. Takes in at once which services the
+     * peer serves, so that views differ for as short as possible; the rest waits for setPeerRooms().
+     */
+    void notePeerServices(const HostId &peer, const std::optional<std::vector<ServiceRoom>> &rooms);
+
+    /**
+     * What the peers' latest heartbeats say of the system's first start: the votes of all other writers when each shard
+     * has a live writer and is in its first epoch, else nullopt. Precondition: follows a call of setPeerRooms().
+     */
+    void followFirstStart(const std::optional<std::vector<std::uint64_t>> &othersVotes);
+    /** This host's vote for its heartbeats; 0 when it has none. */
+    [[nodiscard]] std::uint64_t startVote() const;
 
     /**
      * This host counts the slots of @p worker from now on, under @p fence. All its slots count as taken until a
--- a/src/libscheduler/requestrouter_p.h
+++ b/src/libscheduler/requestrouter_p.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "backoff.h"
 #include "endpointtable.h"
+#include "firststart.h"
+#include "lifetime.h"
 #include "requesthomes.h"
 #include "requestqueue.h"
 #include "requestrecord.h"
@@ -30,7 +33,7 @@
     bool idempotent = false;
     /** Came from a caller here; may be passed to a peer. */
     bool isEntry = false;
-    /** Non-idempotent, and this host answers for it. */
+    /** Non-idempotent, and this host answers for it: its outcome is remembered. */
     bool isHome = false;
     TimePoint arrived;
     TimePoint deadline;
@@ -39,7 +42,7 @@
     bool mayHaveRun = false;
     /** Counts sends, so that only the outcome of the present one matters. */
     std::uint32_t send = 0;
-    Milliseconds backoff {};
+    Backoff backoff { Milliseconds(5), Milliseconds(250) };
     std::set<WorkerId> triedWorkers;
     std::set<HostId> triedPeers;
     TimerId deadlineTimer;
@@ -77,8 +80,11 @@
     [[nodiscard]] Milliseconds callerTime(const CallService &request) const;
     void applyConfiguration(const Configuration &next);
     void followHosts(bool provenFresh);
-    [[nodiscard]] Milliseconds repeatWindow() const;
-    [[nodiscard]] bool isPeerViewFresh() const;
+    [[nodiscard]] RepeatBounds repeatBounds() const;
+    [[nodiscard]] bool isPeerViewFresh(bool alsoAlone) const;
+    /** Whether callers' requests that come now may have waited through a pause, longer than repeats are awaited. */
+    [[nodiscard]] bool mayHoldOldCopies() const;
+    Flight *findRunning(const CallService &request);
 
     // The end of a request (requestrouter.cpp).
     void finish(std::uint64_t number, CallerReply reply);
@@ -91,6 +97,7 @@
     void dispatchNonIdempotent(Flight &flight);
     void dispatchIdempotent(Flight &flight);
     void dispatchAsHome(Flight &flight);
+    void askFormerHome(Flight &flight);
     void serveHere(Flight &flight);
     bool sendNow(Flight &flight);
     void forward(Flight &flight, const HostId &peer);
@@ -115,34 +122,28 @@
     FairRequestQueue &queueOf(const ServiceName &service);
     [[nodiscard]] std::uint32_t weightOf(const OwnerId &owner) const;
 
-    /** Wraps a continuation so that it does nothing once the router is gone. */
-    template<typename Function>
-    auto guarded(Function function)
-    {
-        return [weak = std::weak_ptr<bool>(alive), function = std::move(function)](auto &&...arguments) {
-            if (weak.lock()) {
-                function(std::forward<decltype(arguments)>(arguments)...);
-            }
-        };
-    }
-
     Context &context;
     HostId self;
     Forwarder forwarder;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    Lifetime lifetime;
     Configuration configuration;
     EndpointTable endpoints;
     RequestHomes homes;
+    FirstStart firstStart;
     RequestRecord record;
     RetryBudget budget;
     std::vector<PeerRoom> peerRooms;
     std::optional<TimePoint> peersHeardAt;
+    /** When a pause of this process was last seen. */
+    std::optional<TimePoint> resumedAt;
     /** Services that some host served at some time. */
     std::set<ServiceName> followedServices;
     bool draining = false;
     std::uint64_t lastNumber = 0;
     std::unordered_map<std::uint64_t, Flight> flights;
     std::map<RequestKey, std::uint64_t> running;
+    /** Copies that came back to this host as the former home, while another one that it passed on waits. */
+    std::map<RequestKey, std::uint64_t> runningAsked;
     std::size_t runningNonIdempotent = 0;
     std::map<ServiceName, FairRequestQueue> queues;
     std::map<ServiceName, LearnedTime> serviceTimes;
--- a/src/libscheduler/retrybudget.cpp
+++ b/src/libscheduler/retrybudget.cpp
@@ -1,7 +1,5 @@
 #include "retrybudget.h"
 
-#include <algorithm>
-
 namespace currantring {
 
 RetryBudget::Counts &RetryBudget::at(TimePoint now, const OwnerId &owner, const ServiceName &service)
@@ -40,13 +38,4 @@
     return true;
 }
 
-Milliseconds nextBackoff(Random &random, const BackoffLimits &limits, Milliseconds previous)
-{
-    constexpr int growth = 3;
-    const Milliseconds high = std::max(previous * growth, limits.base * growth);
-    const auto span = static_cast<std::uint64_t>((high - limits.base).count()) + 1;
-    const Milliseconds wait = limits.base + Milliseconds(static_cast<std::int64_t>(uniformBelow(random, span)));
-    return std::min(wait, limits.cap);
-}
-
 } // namespace currantring
--- a/src/libscheduler/retrybudget.h
+++ b/src/libscheduler/retrybudget.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "ids.h"
-#include "random.h"
 #include "units.h"
 
 #include <map>
@@ -43,18 +42,4 @@
     std::map<std::pair<OwnerId, ServiceName>, Counts> m_counts;
 };
 
-/** Bounds of a backoff. */
-struct BackoffLimits
-{
-    Milliseconds base;
-    Milliseconds cap;
-};
-
-/**
- * Next wait by decorrelated jitter: uniform between the base and three times the wait before, at most the cap.
- *
- * @p previous is 0 before the first wait. Thread safety: reentrant for distinct @p random.
- */
-Milliseconds nextBackoff(Random &random, const BackoffLimits &limits, Milliseconds previous);
-
 } // namespace currantring
