--- a/src/libscheduler/firststart.h
+++ b/src/libscheduler/firststart.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership.h"
 #include "units.h"
 
 #include <cstdint>
@@ -68,4 +69,11 @@
     bool m_isOver = false;
 };
 
+/**
+ * The votes of the other writers, as @p peers last told them; nullopt unless each of @p shardCount shards is written by
+ * this host or a live peer and is in its first epoch. Thread safety: reentrant.
+ */
+std::optional<std::vector<std::uint64_t>> firstStartVotes(std::vector<ShardClaim> ownClaims,
+                                                          const std::vector<PeerView> &peers, std::uint32_t shardCount);
+
 } // namespace currantring
--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "configurationkeeper.h"
+#include "firststart.h"
 #include "forwardtable.h"
 #include "lifetime.h"
 #include "membership.h"
@@ -46,7 +47,6 @@
     [[nodiscard]] Heartbeat makeHeartbeat() const;
     void updateWorkers();
     void updatePeerRooms();
-    [[nodiscard]] std::optional<std::vector<std::uint64_t>> firstStartVotes() const;
     void addEndpoints(const ShardScheduler &shard);
     void removeEndpoints(const ShardScheduler &shard);
     void sendMove(const TaskMove &move);
@@ -227,29 +227,7 @@
         }
     }
     requests.setPeerRooms(std::move(rooms));
-    requests.followFirstStart(firstStartVotes());
-}
-
-std::optional<std::vector<std::uint64_t>> Node::Private::firstStartVotes() const
-{
-    std::vector<ShardClaim> claims = shards.claims();
-    std::vector<std::uint64_t> votes;
-    for (const PeerView &peer : membership.livePeers()) {
-        const Heartbeat &heartbeat = peer.heartbeat;
-        claims.insert(claims.end(), heartbeat.claims.begin(), heartbeat.claims.end());
-        if (!heartbeat.claims.empty()) {
-            votes.push_back(heartbeat.startVote);
-        }
-    }
-    std::set<ShardId> written;
-    for (const ShardClaim &claim : claims) {
-        if (claim.epoch != Epoch(1)) {
-            return std::nullopt;
-        }
-        written.insert(claim.shard);
-    }
-    const bool isWhole = shardCount && written.size() == *shardCount;
-    return isWhole ? std::optional(std::move(votes)) : std::nullopt;
+    requests.followFirstStart(firstStartVotes(shards.claims(), membership.livePeers(), shardCount.value_or(0)));
 }
 
 void Node::Private::addEndpoints(const ShardScheduler &shard)
--- a/src/libscheduler/requestrouter.cpp
+++ b/src/libscheduler/requestrouter.cpp
@@ -187,7 +187,7 @@
     return flight;
 }
 
-void RequestRouter::Private::finish(std::uint64_t number, CallerReply reply)
+void RequestRouter::Private::finish(std::uint64_t number, const CallerReply &reply)
 {
     auto node = flights.extract(number);
     if (node.empty()) {
--- a/src/libscheduler/requestrouter_p.h
+++ b/src/libscheduler/requestrouter_p.h
@@ -87,7 +87,7 @@
     Flight *findRunning(const CallService &request);
 
     // The end of a request (requestrouter.cpp).
-    void finish(std::uint64_t number, CallerReply reply);
+    void finish(std::uint64_t number, const CallerReply &reply);
     void finishNotRun(std::uint64_t number, std::string_view reason);
     void finishUnknown(std::uint64_t number, std::string_view reason);
     void deadlinePassed(std::uint64_t number);
--- a/tests/libscheduler/testrequestslots.cpp
+++ b/tests/libscheduler/testrequestslots.cpp
@@ -129,6 +129,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(ownRequestsInFlightKeepTheirSlotsWhenAnEndpointComesBack)
+{
+    RequestWorld world;
+    world.addHost("one");
+    world.addWorker("one", "w1", 1);
+    world.script("w1", {}, Script { Deed::Answer, Milliseconds(450) });
+    world.call("one", "first", true);
+    world.run(Milliseconds(10));
+    world.host("one").removeEndpoint(WorkerId("w1"));
+    world.addWorker("one", "w1", 1);
+    world.call("one", "second", true);
+    world.run(Milliseconds(2000));
+    BOOST_TEST(world.runs("first") == 1);
+    BOOST_TEST(world.overcommitted() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(takenOverSlotsAreUsedOnceAReportShowsThemFree)
 {
     RequestWorld world;
