Move urgent work at once from a shard without room

Cause: a task stays for 1 s in a shard without room before it is moved, so urgent work took 1.2 s to start there, over the promised 1.1 s; seen by 'scripts/slopes urgent' with 32 shards on 65 workers. Ruled out: no least stay at all, for tasks would go round a full fleet, two writes each time; load, for it was the same without other starts. Change: an urgent task that was neither placed nor moved before is moved at once, the first time only.

--- a/src/libscheduler/taskqueue.cpp
+++ b/src/libscheduler/taskqueue.cpp
@@ -8,7 +8,7 @@
 
 /** How long no worker may be large enough before a task is ended for it; the list of workers lags. */
 constexpr Milliseconds unplaceableAfter(5000);
-/** Least stay of a task in a shard's queue before it is moved on. */
+/** Least stay of a task in a shard's queue before it is moved on; without it tasks would go round a full fleet. */
 constexpr Milliseconds leastStay(1000);
 /** Stay after which a task may go back to the worker that it came from. */
 constexpr Milliseconds formerWorkerAfter(3000);
@@ -153,7 +153,9 @@
 
 bool TaskQueue::moveElsewhere(const TaskState &task)
 {
-    if (m_core.context.now() - m_arrivedAt.at(task.id) < leastStay) {
+    // Urgent work can't spend its time to start in a shard without room; it is moved at once, but only the first time.
+    const bool isFirstMove = task.spec.urgent && task.account.size() == 1;
+    if (!isFirstMove && m_core.context.now() - m_arrivedAt.at(task.id) < leastStay) {
         return false;
     }
     const ShardRoom *best = nullptr;
--- a/tests/libscheduler/testsession.cpp
+++ b/tests/libscheduler/testsession.cpp
@@ -37,4 +37,26 @@
     checkNoViolations(cluster);
 }
 
+BOOST_AUTO_TEST_CASE(urgentWorkStartsInTimeAlsoWithoutRoomAtHome)
+{
+    constexpr Milliseconds promised(1100);
+    VirtualClusterOptions options;
+    options.workers = 1; // So seven of the eight shards have none.
+    options.configuration = testConfiguration(8);
+    VirtualCluster cluster(options);
+    BOOST_REQUIRE(cluster.runUntil([&] { return cluster.allServing(); }, Milliseconds(10'000)));
+    cluster.run(Milliseconds(3000));
+    for (int number = 0; number < 16; ++number) {
+        SubmitTask urgent = batchTask("urgent-" + std::to_string(number), Milliseconds(100));
+        urgent.spec.urgent = true;
+        const TimePoint sent = cluster.now();
+        const TaskId task(cluster.askJson(cluster.hosts().at(0), urgent).value("task", ""));
+        const bool hasBegun = cluster.runUntil([&] { return cluster.platform().truth().startCount(task) > 0; },
+                                               promised - (cluster.now() - sent));
+        BOOST_TEST(hasBegun, "task " << number << " didn't start within 1.1 s");
+        cluster.run(Milliseconds(1000));
+    }
+    checkNoViolations(cluster);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
