--- a/src/libscheduler/ledgerrecord.h
+++ b/src/libscheduler/ledgerrecord.h
@@ -144,6 +144,8 @@
     SlotNumber number;
     Epoch epoch;
     HostId writer;
+    /** Tells processes apart that were started under one host id. */
+    std::uint64_t nonce = 0;
     /** Empty in the slot by which a writer claims the shard. */
     std::vector<TimedRecord> records;
 };
--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -21,6 +21,8 @@
 /** Key that holds the number of shards since the first start of the system. */
 constexpr std::string_view shardCountKey = "ledger/shard-count";
 constexpr Milliseconds storeRetry(500);
+/** Heartbeat intervals after which the peers act on what they were told. */
+constexpr int peersHearWithin = 3;
 /** Interval at which a stopping host looks whether anything is left. */
 constexpr Milliseconds drainInterval(50);
 /** Time beyond a request's deadline in which a peer's reply may still come. */
@@ -38,6 +40,7 @@
     void applyConfiguration(const Configuration &newConfiguration);
     void readShardCount();
     void handleShardCount(const StoreResult &result);
+    void setShardCount(std::uint32_t count);
     void beat();
     void join();
     void checkDrained();
@@ -72,6 +75,9 @@
     RequestRouter requests;
     ShardSet shards;
     TaskRouter tasks;
+    /** Peers have heard of the planned stop by then. */
+    TimePoint releaseFrom {};
+    bool isReleasing = false;
     bool shardsReleased = false;
     bool left = false;
     Lifetime lifetime;
@@ -90,7 +96,7 @@
     , directory(context, [this] { updateWorkers(); })
     , forwards(options.host, context)
     , requests(context, charts.endpoint, options.host,
-               [this](const HostId &peer, const CallService &request, RequestRouter::ReplyHandler handler) {
+               [this](const HostId &peer, const CallService &request, const RequestRouter::ReplyHandler &handler) {
                    const Milliseconds timeout = request.timeout.value_or(defaultServiceTimeout) + forwardMargin;
                    forwards.forward(peer, request, 1, timeout, [handler](const std::optional<CallerReply> &reply) {
                        handler(reply.value_or(makeReply(ReplyCode::OutcomeUnknown, "connection-lost")));
@@ -125,6 +131,7 @@
     heartbeat.peerAddress = options.peerAddress;
     heartbeat.dataCentre = options.dataCentre;
     heartbeat.version = keeper.record() ? keeper.record()->version : ConfigurationVersion(0);
+    heartbeat.shardCount = shardCount.value_or(0);
     heartbeat.leaving = state == "draining" || state == "stopped";
     heartbeat.storeReachable = membership.storeReachable();
     heartbeat.claims = shards.claims();
@@ -156,10 +163,12 @@
         return;
     }
     if (result && !result->entries.empty()) {
-        shardCount = static_cast<std::uint32_t>(std::stoul(result->entries.front().value));
-        shards.setShardCount(*shardCount);
-        updateWorkers();
-        send("configured");
+        const nlohmann::json count = nlohmann::json::parse(result->entries.front().value, nullptr, false);
+        if (count.is_number_unsigned()) {
+            setShardCount(count.get<std::uint32_t>());
+        } else {
+            context.log(LogLevel::Error, "shard_count_unreadable", { { "value", result->entries.front().value } });
+        }
         return;
     }
     if (result) {
@@ -171,16 +180,30 @@
     context.schedule(storeRetry, lifetime.guard([this] { readShardCount(); }));
 }
 
+void Node::Private::setShardCount(std::uint32_t count)
+{
+    if (shardCount || count == 0) {
+        return;
+    }
+    shardCount = count;
+    shards.setShardCount(count);
+    updateWorkers();
+    send("configured");
+}
+
 void Node::Private::beat()
 {
     for (const PeerView &peer : membership.livePeers()) {
         keeper.noteVersion(peer.heartbeat.host, peer.heartbeat.version);
+        if (keeper.record()) {
+            setShardCount(peer.heartbeat.shardCount); // A host that starts with the store down learns it here.
+        }
     }
     updatePeerRooms();
     if (state == "joining") {
         join();
     }
-    if (state == "serving" || state == "draining") {
+    if (state == "serving" || isReleasing) {
         shards.balance();
     }
     context.schedule(configuration.duration(Setting::HeartbeatInterval), lifetime.guard([this] { beat(); }));
@@ -324,9 +347,8 @@
 
 void Node::Private::submit(const SubmitTask &request, std::uint32_t hops, std::function<void(CallerReply)> handler)
 {
-    const bool isFromCaller = hops == 0;
-    if (isFromCaller && state != "serving") {
-        handler(makeReply(ReplyCode::NotRun, state == "draining" ? "draining" : "not-serving"));
+    if (!shardCount) {
+        handler(makeReply(ReplyCode::NotYetKnown, "not-serving"));
         return;
     }
     if (configuration.owner(request.owner) == nullptr) {
@@ -355,6 +377,11 @@
 
 void Node::Private::checkDrained()
 {
+    // The endpoints go with the shards, so the requests in flight come first, with those that peers still pass on.
+    if (!isReleasing && context.now() >= releaseFrom && requests.inFlight() == 0) {
+        isReleasing = true;
+        shards.releaseAll(lifetime.guard([this] { shardsReleased = true; }));
+    }
     const bool isIdle = callers.empty() && requests.inFlight() == 0 && forwards.size() == 0;
     if (!isIdle || !shardsReleased) {
         context.schedule(drainInterval, lifetime.guard([this] { checkDrained(); }));
@@ -372,7 +399,7 @@
 }
 
 Node::Node(NodeOptions options, ChartSet charts, Context &context)
-    : d(std::make_unique<Private>(std::move(options), std::move(charts), context))
+    : m_d(std::make_unique<Private>(std::move(options), std::move(charts), context))
 {
 }
 
@@ -380,74 +407,74 @@
 
 void Node::start()
 {
-    d->keeper.start();
-    d->membership.start();
-    d->directory.start();
-    d->beat();
+    m_d->keeper.start();
+    m_d->membership.start();
+    m_d->directory.start();
+    m_d->beat();
 }
 
 void Node::stop()
 {
-    if (d->state == "draining" || d->state == "stopped") {
+    if (m_d->state == "draining" || m_d->state == "stopped") {
         return;
     }
-    d->send("stop");
-    d->requests.beginDrain();
-    d->membership.announce();
-    d->shards.releaseAll(d->lifetime.guard([this] { d->shardsReleased = true; }));
-    d->checkDrained();
+    m_d->send("stop");
+    m_d->requests.beginDrain();
+    m_d->membership.announce();
+    m_d->releaseFrom = m_d->context.now() + peersHearWithin * m_d->configuration.duration(Setting::HeartbeatInterval);
+    m_d->checkDrained();
 }
 
-void Node::handleCaller(CallerToken caller, CallerRequest request)
+void Node::handleCaller(CallerToken caller, const CallerRequest &request)
 {
-    d->callers.insert(caller);
-    d->serve(request, 0, d->lifetime.guard([this, caller](CallerReply reply) {
-        if (d->callers.erase(caller) > 0) {
-            d->context.replyCaller(caller, std::move(reply));
+    m_d->callers.insert(caller);
+    m_d->serve(request, 0, m_d->lifetime.guard([this, caller](CallerReply reply) {
+        if (m_d->callers.erase(caller) > 0) {
+            m_d->context.replyCaller(caller, std::move(reply));
         }
     }));
 }
 
 void Node::forgetCaller(CallerToken caller)
 {
-    d->callers.erase(caller);
+    m_d->callers.erase(caller);
 }
 
 void Node::handlePeer(const HostId &from, const PeerMessage &message)
 {
     if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
-        d->membership.handleHeartbeat(*heartbeat);
-        d->keeper.noteVersion(heartbeat->host, heartbeat->version);
+        m_d->membership.handleHeartbeat(*heartbeat);
+        m_d->keeper.noteVersion(heartbeat->host, heartbeat->version);
     } else if (const auto *forward = std::get_if<ForwardRequest>(&message)) {
-        d->handleForward(*forward);
+        m_d->handleForward(*forward);
     } else if (const auto *reply = std::get_if<ForwardReply>(&message)) {
-        d->forwards.handleReply(*reply);
+        m_d->forwards.handleReply(*reply);
     } else if (const auto *handOver = std::get_if<HandOver>(&message)) {
-        d->shards.handleHandOver(*handOver);
+        m_d->shards.handleHandOver(*handOver);
     } else if (std::holds_alternative<ConfigurationPull>(message)) {
-        d->keeper.handlePull(from);
+        m_d->keeper.handlePull(from);
     } else if (const auto *push = std::get_if<ConfigurationPush>(&message)) {
-        d->keeper.handlePush(*push);
+        m_d->keeper.handlePush(*push);
     } else if (const auto *move = std::get_if<TaskMove>(&message)) {
-        d->handleMove(from, *move);
+        m_d->handleMove(from, *move);
     } else if (const auto *ack = std::get_if<TaskMoveAck>(&message)) {
-        d->handleMoveAck(*ack);
+        m_d->handleMoveAck(*ack);
     }
 }
 
 void Node::handleLinkLost(const HostId &peer)
 {
-    d->forwards.handleLinkLost(peer);
+    m_d->forwards.handleLinkLost(peer);
 }
 
 bool Node::isHealthy() const
 {
-    return d->state == "serving";
+    return m_d->state == "serving";
 }
 
 std::string Node::state() const
 {
-    return d->state;
+    return m_d->state;
 }
 
 } // namespace currantring
--- a/src/libscheduler/peermessage.h
+++ b/src/libscheduler/peermessage.h
@@ -39,6 +39,8 @@
     Address peerAddress;
     DataCentreId dataCentre;
     ConfigurationVersion version;
+    /** Number of shards as pinned in the store; 0 while the host doesn't know it. */
+    std::uint32_t shardCount = 0;
     /** The host takes no new work and gives up its shards. */
     bool leaving = false;
     bool storeReachable = true;
@@ -70,6 +72,7 @@
 struct HandOver
 {
     ShardId shard;
+    /** The sender's; 0 when some worker may still run attempts under a writer before it. */
     Epoch epoch;
 };
 
--- a/src/libscheduler/shardcore.h
+++ b/src/libscheduler/shardcore.h
@@ -45,6 +45,9 @@
     TimePoint activeSince {};
     /** Whether the former writer said that it has stopped. */
     bool handedOver = false;
+    /** Longest settings that this writer has worked under; leases given under them may still last. */
+    Milliseconds longestMargin {};
+    Milliseconds longestOutage {};
     /** Whether leases may be extended while the store can't confirm the writer. */
     bool outageRenewals = true;
 
--- a/src/libscheduler/shardlog.cpp
+++ b/src/libscheduler/shardlog.cpp
@@ -11,6 +11,10 @@
 /** Bounds of the wait before a store call is repeated. */
 constexpr Milliseconds shortestBackoff(50);
 constexpr Milliseconds longestBackoff(1000);
+/** Bytes of one group from which on no large record is taken; leaves room below the store's value limit. */
+constexpr std::size_t groupBytes = 400'000;
+/** Most bytes of a record that carries no task. */
+constexpr std::size_t smallRecordBytes = 300;
 /** Doublings after which the backoff no longer grows. */
 constexpr std::uint32_t backoffDoublings = 5;
 
@@ -22,6 +26,7 @@
     , m_chart(std::move(taskChart))
     , m_context(context)
     , m_handlers(std::move(handlers))
+    , m_nonce(context.random()())
     , m_ledger(m_chart)
     , m_snapshots(shard, context)
 {
@@ -71,6 +76,10 @@
 
 void ShardLog::load()
 {
+    if (m_snapshots.isWriting()) {
+        retryLoad();
+        return;
+    }
     m_snapshots.load([this](const tl::expected<std::optional<ShardSnapshot>, StoreError> &snapshot) {
         m_storeAnswers = snapshot.has_value();
         if (!snapshot) {
@@ -90,6 +99,12 @@
                                 retryLoad();
                                 return;
                             }
+                            if (isRingFull()) {
+                                // What was loaded is committed, so any host may write its snapshot.
+                                m_snapshots.write(draftSnapshot(SlotNumber(m_nextSlot.value() - 1)));
+                                retryLoad();
+                                return;
+                            }
                             writeClaim();
                         }));
 }
@@ -146,7 +161,7 @@
 {
     m_state = State::Claiming;
     m_epoch = Epoch(m_epoch.value() + 1);
-    m_inFlight = LedgerSlot { m_nextSlot, m_epoch, m_self, {} };
+    m_inFlight = LedgerSlot { m_nextSlot, m_epoch, m_self, m_nonce, {} };
     m_inFlightText = encodeSlot(*m_inFlight);
     m_firstSentAt = m_context.now();
     putSlot();
@@ -158,6 +173,9 @@
     if (const auto applied = m_ledger.apply(record, origin(target)); !applied) {
         return applied;
     }
+    m_pendingBytes += std::holds_alternative<TaskSubmitted>(record) || std::holds_alternative<TaskMovedIn>(record)
+        ? encodeRecord(record).dump().size()
+        : smallRecordBytes;
     m_pending.push_back(Pending { TimedRecord { m_context.wallNow(), record }, std::move(then) });
     m_pendingUrgent = m_pendingUrgent || urgent;
     scheduleGroup();
@@ -173,7 +191,7 @@
     const Milliseconds wait =
         m_pendingUrgent ? Milliseconds(0) : std::max(Milliseconds(0), m_limits.groupCommitTick - sinceCommit);
     m_groupScheduled = true;
-    m_context.schedule(wait, m_lifetime.guard([this] {
+    m_context.schedule(std::max(wait, ringWait), m_lifetime.guard([this] {
         m_groupScheduled = false;
         closeGroup();
     }));
@@ -184,31 +202,48 @@
     if (m_state != State::Active || m_inFlight || m_pending.empty()) {
         return;
     }
-    if (m_nextSlot.value() > m_snapshots.through().value() + logRingSlots) {
-        // Overwriting a slot that no snapshot covers would lose it.
-        m_context.schedule(longestBackoff, m_lifetime.guard([this] { closeGroup(); }));
+    if (isRingFull()) {
+        scheduleGroup(); // Overwriting a slot that no snapshot covers would lose it.
         return;
     }
-    m_inFlight = LedgerSlot { m_nextSlot, m_epoch, m_self, {} };
+    m_inFlight = LedgerSlot { m_nextSlot, m_epoch, m_self, m_nonce, {} };
     for (Pending &pending : m_pending) {
         m_inFlight->records.push_back(std::move(pending.timed));
         m_inFlightHandlers.push_back(std::move(pending.then));
     }
     m_pending.clear();
+    m_pendingBytes = 0;
     m_pendingUrgent = false;
     m_inFlightText = encodeSlot(*m_inFlight);
     m_firstSentAt = m_context.now();
-    if (m_nextSlot.value() >= m_snapshots.through().value() + m_limits.snapshotInterval && !m_snapshots.isWriting()) {
+    if (isSnapshotDue()) {
         // Nothing is pending beyond this slot, so the ledger is exactly its state.
-        m_draft = ShardSnapshot { m_nextSlot, m_epoch, {} };
         m_ledger.trim(WallTime(m_context.wallNow().value() - m_limits.retention.count()));
-        for (const auto &[id, task] : m_ledger.tasks()) {
-            m_draft->tasks.push_back(m_ledger.encodeTask(task).dump());
-        }
+        m_draft = draftSnapshot(m_nextSlot);
     }
     putSlot();
 }
 
+bool ShardLog::isRingFull() const
+{
+    return m_nextSlot.value() > m_snapshots.through().value() + logRingSlots;
+}
+
+bool ShardLog::isSnapshotDue() const
+{
+    const std::uint64_t due = m_snapshots.through().value() + m_limits.snapshotInterval;
+    return m_nextSlot.value() >= due && !m_snapshots.isWriting();
+}
+
+ShardSnapshot ShardLog::draftSnapshot(SlotNumber through) const
+{
+    ShardSnapshot draft { through, m_epoch, {} };
+    for (const auto &[id, task] : m_ledger.tasks()) {
+        draft.tasks.push_back(m_ledger.encodeTask(task).dump());
+    }
+    return draft;
+}
+
 void ShardLog::putSlot()
 {
     const TimePoint sentAt = m_context.now();
@@ -259,7 +294,7 @@
     const bool isThere = !result->entries.empty();
     const std::optional<LedgerSlot> slot = isThere ? decodeSlot(result->entries.front().value) : std::nullopt;
     const bool isOurs = slot && slot->number == m_inFlight->number && slot->epoch == m_inFlight->epoch
-        && slot->writer == m_inFlight->writer;
+        && slot->writer == m_inFlight->writer && slot->nonce == m_inFlight->nonce;
     if (isOurs) {
         commitSlot(m_firstSentAt, result->entries.front().version);
         return;
@@ -285,6 +320,10 @@
     }
     if (m_state == State::Claiming) {
         m_state = State::Active;
+        if (isSnapshotDue()) {
+            // Claims use up slots, too, and nothing is pending yet.
+            m_snapshots.write(draftSnapshot(SlotNumber(m_nextSlot.value() - 1)));
+        }
         m_handlers.onActive();
         return;
     }
@@ -433,6 +472,11 @@
     return entry.slot < m_nextSlot || entry.shard != m_shard;
 }
 
+bool ShardLog::isGroupFull() const
+{
+    return m_pendingBytes >= groupBytes;
+}
+
 bool ShardLog::isBlocked() const
 {
     return m_inFlight && m_failures > 0;
--- a/src/libscheduler/shardlog.h
+++ b/src/libscheduler/shardlog.h
@@ -83,6 +83,8 @@
     [[nodiscard]] const TaskLedger &ledger() const;
     /** Whether @p entry is committed. */
     [[nodiscard]] bool isCommitted(const AccountEntry &entry) const;
+    /** Whether the group that is being gathered is so large that submissions and moved tasks must wait. */
+    [[nodiscard]] bool isGroupFull() const;
     /** Whether the last write got no clear answer and is being tried again. */
     [[nodiscard]] bool isBlocked() const;
     /** Latest moment at which this host was surely the writer. */
@@ -116,6 +118,9 @@
     void runChecks();
     void handleCheck(TimePoint sentAt, const StoreResult &result, const std::vector<CheckHandler> &waiting);
     void writeSnapshot();
+    [[nodiscard]] bool isRingFull() const;
+    [[nodiscard]] bool isSnapshotDue() const;
+    [[nodiscard]] ShardSnapshot draftSnapshot(SlotNumber through) const;
     [[nodiscard]] std::string slotKey(SlotNumber slot) const;
     [[nodiscard]] std::string slotPrefix() const;
     [[nodiscard]] StoreVersion knownVersion(SlotNumber slot) const;
@@ -130,11 +135,14 @@
     Limits m_limits;
     Lifetime m_lifetime;
     State m_state = State::Idle;
+    /** Distinguishes this object's slots from those of another process under the same host id. */
+    std::uint64_t m_nonce;
     TaskLedger m_ledger;
     Epoch m_epoch;
     SlotNumber m_nextSlot { 1 };
     std::map<std::string, StoreVersion> m_versions;
     std::vector<Pending> m_pending;
+    std::size_t m_pendingBytes = 0;
     bool m_pendingUrgent = false;
     bool m_groupScheduled = false;
     std::optional<LedgerSlot> m_inFlight;
--- a/src/libscheduler/taskdesk.cpp
+++ b/src/libscheduler/taskdesk.cpp
@@ -43,12 +43,13 @@
         return;
     }
     if (m_core.log.isBlocked() || !m_core.log.storeAnswers()) {
-        handler(makeReply(ReplyCode::NotRun, "store-unavailable"));
+        // Not accepted here; but an earlier copy under the key may stand with a writer that this host can't know of.
+        handler(makeReply(ReplyCode::NotYetKnown, "store-unavailable"));
         return;
     }
     const auto limit = static_cast<std::size_t>(m_core.configuration.value(Setting::TaskQueueLimit));
-    if (m_core.log.ledger().activeTasks().size() >= limit) {
-        handler(makeReply(ReplyCode::NotRun, "task-queue-full"));
+    if (m_core.log.ledger().activeTasks().size() >= limit || m_core.log.isGroupFull()) {
+        answerWhenCurrent(std::move(handler), [] { return makeReply(ReplyCode::NotRun, "task-queue-full"); });
         return;
     }
     const TaskSubmitted record { id, request.owner, request.key, request.spec };
@@ -144,7 +145,7 @@
 {
     const TaskState *task = m_core.log.ledger().find(request.task);
     if (task == nullptr) {
-        handler(makeReply(ReplyCode::NotFound, "no-record"));
+        read(ReadTask { request.task }, std::move(handler)); // Says so once the store confirms the writer.
         return;
     }
     if (m_core.log.ledger().isFinal(*task) || task->state == "cancelling") {
@@ -167,7 +168,7 @@
 {
     const TaskState *task = m_core.log.ledger().find(request.task);
     if (task == nullptr) {
-        handler(makeReply(ReplyCode::NotFound, "no-record"));
+        read(ReadTask { request.task }, std::move(handler));
         return;
     }
     if (m_core.log.isBlocked()) {
@@ -178,10 +179,8 @@
         handler(makeReply(ReplyCode::Invalid, "the task isn't running"));
         return;
     }
-    const TaskState *beneficiary = m_core.log.ledger().find(request.onBehalfOf);
-    const OwnerId beneficiaryOwner = beneficiary == nullptr ? OwnerId() : beneficiary->owner;
     const EvictionRequested record { AttemptKey { task->id, task->attempt->number }, task->attempt->worker,
-                                     request.reason, request.onBehalfOf, beneficiaryOwner };
+                                     request.reason, request.onBehalfOf, request.onBehalfOfOwner };
     appendChange(record, task->id, "checkpointing", std::move(handler));
 }
 
@@ -210,6 +209,10 @@
         handler(m_core.log.isCommitted(known->account.back()));
         return;
     }
+    if (m_core.log.isGroupFull()) {
+        handler(false); // The sender repeats the move.
+        return;
+    }
     const auto shared = std::make_shared<std::function<void(bool)>>(std::move(handler));
     const TaskMovedIn record { move.task, move.from, move.record };
     const auto appended = m_core.log.append(record, true, m_lifetime.guard([this, shared, id = move.task](bool ok) {
