--- a/src/libscheduler/shardlog.cpp
+++ b/src/libscheduler/shardlog.cpp
@@ -190,6 +190,7 @@
     const Milliseconds sinceCommit = m_context.now() - m_lastCommit;
     const Milliseconds wait =
         m_pendingUrgent ? Milliseconds(0) : std::max(Milliseconds(0), m_limits.groupCommitTick - sinceCommit);
+    const Milliseconds ringWait = isRingFull() ? longestBackoff : Milliseconds(0);
     m_groupScheduled = true;
     m_context.schedule(std::max(wait, ringWait), m_lifetime.guard([this] {
         m_groupScheduled = false;
