--- a/tests/libscheduler/taskcase.cpp
+++ b/tests/libscheduler/taskcase.cpp
@@ -183,7 +183,7 @@
         // A fault that is to strike before it is thrown first, so that the request is sent by the next turn.
         if (m_row.step != "before eviction" || m_result.struck) {
             m_evicted = true;
-            m_cluster.send(servingHost(), EvictTask { m_moved, m_cancelled, "session" });
+            m_cluster.send(servingHost(), EvictTask { m_moved, m_cancelled, "session", {} });
         }
     }
     const bool isCancelDue = m_reached.contains("placed again") || m_row.step == "cancel-requested";
--- a/tests/libscheduler/testcodecs.cpp
+++ b/tests/libscheduler/testcodecs.cpp
@@ -39,10 +39,16 @@
 
 Heartbeat fullHeartbeat()
 {
-    Heartbeat heartbeat {
-        HostId("host-1"), Address("127.0.0.1:7001"), DataCentreId("east"), ConfigurationVersion(3), true, false, {}, {}
-    };
-    heartbeat.startVote = 77;
+    Heartbeat heartbeat { HostId("host-1"),
+                          Address("127.0.0.1:7001"),
+                          DataCentreId("east"),
+                          ConfigurationVersion(3),
+                          8,
+                          true,
+                          false,
+                          {},
+                          {},
+                          77 };
     for (std::uint32_t shard = 0; shard < 4; ++shard) {
         heartbeat.claims.push_back(
             { ShardId(shard), Epoch(9), { Millicores(16000), Mebibytes(65536), AcceleratorCount(1) } });
