--- a/tests/libscheduler/taskfaults.cpp
+++ b/tests/libscheduler/taskfaults.cpp
@@ -52,9 +52,19 @@
 }
 
 /** Each fault is switched on, and off when it is healed. */
-const std::map<std::string, std::function<void(TaskSession &, bool)>> &TaskSession::faults()
+const TaskSession::FaultTable &TaskSession::faults()
 {
-    static const std::map<std::string, std::function<void(TaskSession &, bool)>> table {
+    static const FaultTable table = [] {
+        FaultTable all = hostFaults();
+        all.merge(platformFaults());
+        return all;
+    }();
+    return table;
+}
+
+TaskSession::FaultTable TaskSession::hostFaults()
+{
+    return {
         { "writer killed",
           [](TaskSession &s, bool on) {
               if (on && std::ranges::count(s.m_cluster.hosts(), s.m_writer) > 0) {
@@ -69,28 +79,6 @@
                   s.m_paused.push_back(s.m_writer);
               }
           } },
-        { "store outage",
-          [](TaskSession &s, bool on) {
-              s.m_cluster.throwFault({ { "fault", "outage" }, { "on", on } });
-          } },
-        { "store reply lost",
-          [](TaskSession &s, bool on) {
-              s.m_cluster.throwFault({ { "fault", "loseReply" }, { "count", on ? 1 : 0 }, { "keyPrefix", "ledger/" } });
-          } },
-        { "worker reply lost",
-          [](TaskSession &s, bool on) {
-              s.m_cluster.loseWorkerReplies(on ? 1 : 0);
-          } },
-        { "worker frozen",
-          [](TaskSession &s, bool on) {
-              s.m_cluster.throwFault({ { "fault", "freezeWorker" }, { "worker", s.targetWorker() }, { "on", on } });
-          } },
-        { "leases lapsed",
-          [](TaskSession &s, bool on) {
-              if (on) {
-                  s.m_cluster.throwFault({ { "fault", "lapseLease" }, { "lease", "all" } });
-              }
-          } },
         { "clock step",
           [](TaskSession &s, bool on) {
               s.m_cluster.stepWallClock(s.m_writer, Milliseconds(on ? 10'000 : -10'000));
@@ -116,7 +104,34 @@
               s.cutWritersSide(on);
           } },
     };
-    return table;
+}
+
+TaskSession::FaultTable TaskSession::platformFaults()
+{
+    return {
+        { "store outage",
+          [](TaskSession &s, bool on) {
+              s.m_cluster.throwFault({ { "fault", "outage" }, { "on", on } });
+          } },
+        { "store reply lost",
+          [](TaskSession &s, bool on) {
+              s.m_cluster.throwFault({ { "fault", "loseReply" }, { "count", on ? 1 : 0 }, { "keyPrefix", "ledger/" } });
+          } },
+        { "worker reply lost",
+          [](TaskSession &s, bool on) {
+              s.m_cluster.loseWorkerReplies(on ? 1 : 0);
+          } },
+        { "worker frozen",
+          [](TaskSession &s, bool on) {
+              s.m_cluster.throwFault({ { "fault", "freezeWorker" }, { "worker", s.targetWorker() }, { "on", on } });
+          } },
+        { "leases lapsed",
+          [](TaskSession &s, bool on) {
+              if (on) {
+                  s.m_cluster.throwFault({ { "fault", "lapseLease" }, { "lease", "all" } });
+              }
+          } },
+    };
 }
 
 std::vector<std::string> taskFaults()
--- a/tests/libscheduler/tasksession.h
+++ b/tests/libscheduler/tasksession.h
@@ -13,12 +13,16 @@
 class TaskSession
 {
 public:
+    using FaultTable = std::map<std::string, std::function<void(TaskSession &, bool)>>;
+
     explicit TaskSession(const TaskCase &row);
 
     TaskCaseResult run();
-    static const std::map<std::string, std::function<void(TaskSession &, bool)>> &faults();
+    static const FaultTable &faults();
 
 private:
+    static FaultTable hostFaults();
+    static FaultTable platformFaults();
     bool play();
     bool reached(const std::string &step);
     void readTranscript();
