--- a/tests/libscheduler/faulttable.cpp
+++ b/tests/libscheduler/faulttable.cpp
@@ -24,6 +24,11 @@
     };
 }
 
+bool isOver(const std::string &state)
+{
+    return state == "succeeded" || state == "failed" || state == "cancelled" || state == "expired";
+}
+
 } // namespace
 
 const std::vector<FaultCase> &faultTable()
@@ -151,6 +156,21 @@
     return serving;
 }
 
+nlohmann::json settledAccount(VirtualCluster &cluster, const TaskId &task)
+{
+    std::set<std::string> accounts;
+    std::set<std::string> states;
+    for (const HostId &host : servingHosts(cluster)) {
+        BOOST_TEST(cluster.runUntil([&] { return isOver(cluster.taskState(host, task)); }, Milliseconds(150'000)),
+                   "no end of " << task.value() << " through " << host);
+        accounts.insert(cluster.ask(host, ReadAccount { task }).body);
+        states.insert(cluster.ask(host, ReadTask { task }).body);
+    }
+    BOOST_TEST(accounts.size() == 1U);
+    BOOST_TEST(states.size() == 1U);
+    return accounts.empty() ? nlohmann::json() : nlohmann::json::parse(*accounts.begin());
+}
+
 void checkNoViolations(const VirtualCluster &cluster)
 {
     for (const std::string &violation : cluster.violations()) {
--- a/tests/libscheduler/faulttable.h
+++ b/tests/libscheduler/faulttable.h
@@ -40,6 +40,8 @@
 FaultScene sceneOf(VirtualCluster &cluster, const TaskId &task);
 /** Hosts that live and serve. */
 std::vector<HostId> servingHosts(const VirtualCluster &cluster);
+/** Waits for the task's end as every serving host tells it, then asks all of them; returns the one account. */
+nlohmann::json settledAccount(VirtualCluster &cluster, const TaskId &task);
 /** Reports what the cluster has noted as Boost.Test errors. */
 void checkNoViolations(const VirtualCluster &cluster);
 
