--- a/src/libscheduler/membership.h
+++ b/src/libscheduler/membership.h
@@ -53,7 +53,7 @@
     [[nodiscard]] bool isSettled() const;
     /** Host that should write @p shard among the live hosts that aren't leaving; by rendezvous hashing. */
     [[nodiscard]] std::optional<HostId> preferredWriter(ShardId shard) const;
-    /** Live host that says it writes @p shard, with the highest epoch; may be this host. */
+    /** Live host that says it writes @p shard, with the highest epoch; may be this host, by what it last announced. */
     [[nodiscard]] std::optional<HostId> claimant(ShardId shard) const;
 
 private:
--- a/tests/libscheduler/testmembership.cpp
+++ b/tests/libscheduler/testmembership.cpp
@@ -215,6 +215,7 @@
     const ShardId shard(5);
     BOOST_TEST(!mesh["a"].membership.claimant(shard).has_value());
     mesh["a"].digest.claims = { { shard, Epoch(3), {} } };
+    mesh["a"].membership.announce();
     BOOST_TEST(mesh["a"].membership.claimant(shard).value() == HostId("a"));
     mesh["b"].digest.claims = { { shard, Epoch(4), {} }, { ShardId(6), Epoch(9), {} } };
     mesh["b"].membership.announce();
