Interpret the attempt chart in the ledger

Cause: the chart of an attempt's life cycle was loaded and checked, but the ledger kept only whether it was confirmed. Ruled out: replacing that mark by the state, since a checkpointing attempt may not have been confirmed. Change: a record that the attempt's chart has no transition for is refused, like one that the task's chart refuses.

--- a/src/libscheduler/ledgerrecord.cpp
+++ b/src/libscheduler/ledgerrecord.cpp
@@ -205,6 +205,19 @@
     return events.at(record.index());
 }
 
+std::string_view attemptChartEvent(const LedgerRecord &record)
+{
+    if (const auto *ended = std::get_if<AttemptEnded>(&record)) {
+        return ended->end == AttemptEnd::Stopped ? "stopped" : attemptEndName(ended->end);
+    }
+    if (std::holds_alternative<CancelRequested>(record)) {
+        return "stop";
+    }
+    const bool isStepOfAttempt =
+        std::holds_alternative<AttemptStarted>(record) || std::holds_alternative<EvictionRequested>(record);
+    return isStepOfAttempt ? chartEvent(record) : std::string_view();
+}
+
 nlohmann::json encodeRecord(const LedgerRecord &record)
 {
     nlohmann::json json = std::visit(Encoder {}, record);
--- a/src/libscheduler/ledgerrecord.h
+++ b/src/libscheduler/ledgerrecord.h
@@ -123,6 +123,8 @@
 std::string_view recordName(const LedgerRecord &record);
 /** Event of the task chart that @p record brings about. Thread safety: reentrant. */
 std::string_view chartEvent(const LedgerRecord &record);
+/** Event of the attempt chart that @p record brings about for the live attempt; empty when none. */
+std::string_view attemptChartEvent(const LedgerRecord &record);
 std::string_view attemptEndName(AttemptEnd end);
 std::string_view taskEndName(TaskEnd end);
 
--- a/src/libscheduler/node.cpp
+++ b/src/libscheduler/node.cpp
@@ -39,7 +39,7 @@
                        handler(reply.value_or(makeReply(ReplyCode::OutcomeUnknown, "connection-lost")));
                    });
                })
-    , shards(options.host, charts.task, context, membership,
+    , shards(options.host, { charts.task, charts.attempt }, context, membership,
              ShardSet::Handlers { [this](ShardScheduler &shard) { addEndpoints(shard); },
                                   [this](ShardScheduler &shard) { removeEndpoints(shard); },
                                   [this](const WorkerReport &report) { requests.handleReport(report); },
--- a/src/libscheduler/shardlog.cpp
+++ b/src/libscheduler/shardlog.cpp
@@ -20,14 +20,14 @@
 
 } // namespace
 
-ShardLog::ShardLog(ShardId shard, HostId self, Chart taskChart, Context &context, Handlers handlers)
+ShardLog::ShardLog(ShardId shard, HostId self, TaskCharts charts, Context &context, Handlers handlers)
     : m_shard(shard)
     , m_self(std::move(self))
-    , m_chart(std::move(taskChart))
+    , m_charts(std::move(charts))
     , m_context(context)
     , m_handlers(std::move(handlers))
     , m_nonce(context.random()())
-    , m_ledger(m_chart)
+    , m_ledger(m_charts)
     , m_snapshots(shard, context)
 {
 }
--- a/src/libscheduler/shardlog.h
+++ b/src/libscheduler/shardlog.h
@@ -61,7 +61,7 @@
     };
 
     /** Precondition: @p context outlives the object. */
-    ShardLog(ShardId shard, HostId self, Chart taskChart, Context &context, Handlers handlers);
+    ShardLog(ShardId shard, HostId self, TaskCharts charts, Context &context, Handlers handlers);
 
     void setLimits(const Limits &limits);
     /** Loads the shard and takes it over. Precondition: state() is Idle. */
@@ -129,7 +129,7 @@
 
     ShardId m_shard;
     HostId m_self;
-    Chart m_chart;
+    TaskCharts m_charts;
     Context &m_context;
     Handlers m_handlers;
     Limits m_limits;
--- a/src/libscheduler/shardlogload.cpp
+++ b/src/libscheduler/shardlogload.cpp
@@ -59,7 +59,7 @@
 
 bool ShardLog::replay(const StoreReply &reply, const std::optional<ShardSnapshot> &snapshot)
 {
-    m_ledger = TaskLedger(m_chart);
+    m_ledger = TaskLedger(m_charts);
     m_versions.clear();
     m_epoch = snapshot ? snapshot->epoch : Epoch(0);
     m_nextSlot = SlotNumber(snapshot ? snapshot->through.value() + 1 : 1);
--- a/src/libscheduler/shardscheduler.cpp
+++ b/src/libscheduler/shardscheduler.cpp
@@ -16,10 +16,10 @@
 
 } // namespace
 
-ShardScheduler::ShardScheduler(ShardId shard, HostId self, Chart taskChart, Context &context, Handlers handlers)
+ShardScheduler::ShardScheduler(ShardId shard, HostId self, TaskCharts charts, Context &context, Handlers handlers)
     : m_context(context)
     , m_handlers(std::move(handlers))
-    , m_log(shard, std::move(self), std::move(taskChart), context,
+    , m_log(shard, std::move(self), std::move(charts), context,
             { [this] { activate(); },
               [this] {
                   m_handlers.onFenced();
--- a/src/libscheduler/shardscheduler.h
+++ b/src/libscheduler/shardscheduler.h
@@ -30,7 +30,7 @@
     };
 
     /** Precondition: @p context outlives the object. */
-    ShardScheduler(ShardId shard, HostId self, Chart taskChart, Context &context, Handlers handlers);
+    ShardScheduler(ShardId shard, HostId self, TaskCharts charts, Context &context, Handlers handlers);
 
     void setConfiguration(const Configuration &configuration);
     /** The workers of this shard that the platform lists. */
--- a/src/libscheduler/shardset.cpp
+++ b/src/libscheduler/shardset.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-ShardSet::ShardSet(HostId self, Chart taskChart, Context &context, const Membership &membership, Handlers handlers)
+ShardSet::ShardSet(HostId self, TaskCharts charts, Context &context, const Membership &membership, Handlers handlers)
     : m_self(std::move(self))
-    , m_taskChart(std::move(taskChart))
+    , m_charts(std::move(charts))
     , m_context(context)
     , m_membership(membership)
     , m_handlers(std::move(handlers))
@@ -117,7 +117,7 @@
         return;
     }
     auto shard = std::make_unique<ShardScheduler>(
-        id, m_self, m_taskChart, m_context,
+        id, m_self, m_charts, m_context,
         ShardScheduler::Handlers { [this, id] { m_handlers.onActive(*m_shards.at(id)); },
                                    [this, id] {
                                        m_context.log(LogLevel::Warning, "shard_lost",
--- a/src/libscheduler/shardset.h
+++ b/src/libscheduler/shardset.h
@@ -31,7 +31,7 @@
     };
 
     /** Precondition: @p context and @p membership outlive the object. */
-    ShardSet(HostId self, Chart taskChart, Context &context, const Membership &membership, Handlers handlers);
+    ShardSet(HostId self, TaskCharts charts, Context &context, const Membership &membership, Handlers handlers);
 
     /** Number of shards of the whole system; fixed once it is pinned in the store. */
     void setShardCount(std::uint32_t count);
@@ -60,7 +60,7 @@
     void updateOutageRenewals();
 
     HostId m_self;
-    Chart m_taskChart;
+    TaskCharts m_charts;
     Context &m_context;
     const Membership &m_membership;
     Handlers m_handlers;
--- a/src/libscheduler/taskledger.cpp
+++ b/src/libscheduler/taskledger.cpp
@@ -35,8 +35,8 @@
     entry.record = json.at("record");
 }
 
-TaskLedger::TaskLedger(Chart taskChart)
-    : m_chart(std::move(taskChart))
+TaskLedger::TaskLedger(TaskCharts charts)
+    : m_charts(std::move(charts))
 {
 }
 
@@ -53,15 +53,22 @@
         return tl::unexpected(LedgerError::WrongTask);
     }
     TaskState &task = found->second;
-    const std::optional<std::string> next = m_chart.next(task.state, chartEvent(record));
+    const std::optional<std::string> next = m_charts.task.next(task.state, chartEvent(record));
     if (!next) {
         return tl::unexpected(LedgerError::WrongState);
     }
     if (const auto checked = checkAttempt(task, record); !checked) {
         return checked;
     }
+    const std::optional<std::string> nextOfAttempt = nextAttemptState(task, record);
+    if (!nextOfAttempt) {
+        return tl::unexpected(LedgerError::WrongState);
+    }
     unindex(task);
     task.state = *next;
+    if (task.attempt) {
+        task.attempt->state = *nextOfAttempt;
+    }
     applyEffects(task, record);
     // The account goes on in the other shard; a last entry here would take a number that is used there.
     if (!std::holds_alternative<TaskMoveConfirmed>(record)) {
@@ -81,7 +88,7 @@
     task.owner = record.owner;
     task.key = record.key;
     task.spec = record.spec;
-    task.state = m_chart.initial();
+    task.state = m_charts.task.initial();
     addEntry(task, record, origin);
     index(task);
     return {};
@@ -103,7 +110,7 @@
     }
     TaskState &task = m_tasks[record.task];
     task = std::move(*moved);
-    task.state = m_chart.initial();
+    task.state = m_charts.task.initial();
     task.movedTo.reset();
     addEntry(task, record, origin);
     index(task);
@@ -131,11 +138,21 @@
     return {};
 }
 
+std::optional<std::string> TaskLedger::nextAttemptState(const TaskState &task, const LedgerRecord &record) const
+{
+    const std::string_view event = attemptChartEvent(record);
+    if (!task.attempt || event.empty()) {
+        return task.attempt ? task.attempt->state : std::string();
+    }
+    return m_charts.attempt.next(task.attempt->state, event);
+}
+
 void TaskLedger::applyEffects(TaskState &task, const LedgerRecord &record)
 {
     if (const auto *placed = std::get_if<AttemptPlaced>(&record)) {
         task.attempts = placed->attempt.attempt.value();
-        task.attempt = LiveAttempt { placed->attempt.attempt, placed->worker, placed->resumeFrom, false };
+        task.attempt = LiveAttempt { placed->attempt.attempt, placed->worker, placed->resumeFrom,
+                                     m_charts.attempt.initial(), false };
     } else if (std::holds_alternative<AttemptStarted>(record)) {
         task.attempt->confirmed = true;
         task.mayHaveRun = true;
@@ -242,7 +259,7 @@
 
 bool TaskLedger::isFinal(const TaskState &task) const
 {
-    return m_chart.isFinal(task.state);
+    return m_charts.task.isFinal(task.state);
 }
 
 std::size_t TaskLedger::trim(WallTime before)
@@ -271,6 +288,7 @@
         json["attempt"] = { { "number", task.attempt->number },
                             { "worker", task.attempt->worker },
                             { "resumeFrom", task.attempt->resumeFrom },
+                            { "state", task.attempt->state },
                             { "confirmed", task.attempt->confirmed } };
     }
     if (task.movedTo) {
@@ -299,7 +317,8 @@
             const nlohmann::json &attempt = json.at("attempt");
             task.attempt =
                 LiveAttempt { attempt.at("number").get<AttemptNumber>(), attempt.at("worker").get<WorkerId>(),
-                              attempt.at("resumeFrom").get<CheckpointId>(), attempt.at("confirmed").get<bool>() };
+                              attempt.at("resumeFrom").get<CheckpointId>(), attempt.at("state").get<std::string>(),
+                              attempt.at("confirmed").get<bool>() };
         }
         if (json.contains("movedTo")) {
             task.movedTo = json.at("movedTo").get<ShardId>();
--- a/src/libscheduler/taskledger.h
+++ b/src/libscheduler/taskledger.h
@@ -13,6 +13,13 @@
 
 namespace currantring {
 
+/** The life cycles that the ledger interprets. */
+struct TaskCharts
+{
+    Chart task;
+    Chart attempt;
+};
+
 /** One numbered line of a task's account. */
 struct AccountEntry
 {
@@ -40,7 +47,9 @@
     AttemptNumber number;
     WorkerId worker;
     CheckpointId resumeFrom;
-    /** State of the attempt chart's life cycle: whether the worker confirmed the start. */
+    /** State of the attempt chart. */
+    std::string state;
+    /** Whether the worker confirmed the start. */
     bool confirmed = false;
 };
 
@@ -102,12 +111,12 @@
 /**
  * The fold of one shard's records: tasks, their accounts, and the resources reserved on each worker.
  *
- * The task chart decides which record may follow which. Thread safety: one thread at a time.
+ * The charts of task and attempt decide which record may follow which. Thread safety: one thread at a time.
  */
 class TaskLedger
 {
 public:
-    explicit TaskLedger(Chart taskChart);
+    explicit TaskLedger(TaskCharts charts);
 
     /** Applies @p record, or changes nothing and says why. */
     tl::expected<void, LedgerError> apply(const LedgerRecord &record, const RecordOrigin &origin);
@@ -140,13 +149,15 @@
     tl::expected<void, LedgerError> applySubmitted(const TaskSubmitted &record, const RecordOrigin &origin);
     tl::expected<void, LedgerError> applyMovedIn(const TaskMovedIn &record, const RecordOrigin &origin);
     tl::expected<void, LedgerError> checkAttempt(const TaskState &task, const LedgerRecord &record) const;
+    /** State of the live attempt after @p record; nullopt when its chart has no such transition. */
+    [[nodiscard]] std::optional<std::string> nextAttemptState(const TaskState &task, const LedgerRecord &record) const;
     void applyEffects(TaskState &task, const LedgerRecord &record);
     void endAttempt(TaskState &task, const AttemptEnded &record);
     void addEntry(TaskState &task, const LedgerRecord &record, const RecordOrigin &origin);
     void index(const TaskState &task);
     void unindex(const TaskState &task);
 
-    Chart m_chart;
+    TaskCharts m_charts;
     std::map<TaskId, TaskState> m_tasks;
     std::set<TaskId> m_active;
     std::map<WorkerId, std::set<TaskId>> m_onWorker;
--- a/tests/libscheduler/testshardlog.cpp
+++ b/tests/libscheduler/testshardlog.cpp
@@ -16,8 +16,9 @@
     ShardLog &add(const std::string &host)
     {
         m_contexts.push_back(std::make_unique<Context>(m_contexts.size() + 1));
-        const Chart chart = ChartSet::load(CURRANTRING_CHARTS).value().task;
-        m_logs.push_back(std::make_unique<ShardLog>(ShardId(0), HostId(host), chart, *m_contexts.back(),
+        const ChartSet charts = ChartSet::load(CURRANTRING_CHARTS).value();
+        m_logs.push_back(std::make_unique<ShardLog>(ShardId(0), HostId(host),
+                                                    TaskCharts { charts.task, charts.attempt }, *m_contexts.back(),
                                                     ShardLog::Handlers { [] {},
                                                                          [] {
                                                                          } }));
