--- a/src/currantringd/daemon.cpp
+++ b/src/currantringd/daemon.cpp
@@ -147,8 +147,8 @@
         m_context.completeWorker(worker->call, worker->result);
     } else if (auto *endpoint = std::get_if<EndpointDone>(&input)) {
         m_context.completeEndpoint(endpoint->call, endpoint->result);
-    } else if (auto *arrived = std::get_if<CallerArrived>(&input)) {
-        m_node.handleCaller(arrived->caller, std::move(arrived->request));
+    } else if (const auto *arrived = std::get_if<CallerArrived>(&input)) {
+        m_node.handleCaller(arrived->caller, arrived->request);
     } else if (auto *gone = std::get_if<CallerGone>(&input)) {
         m_node.forgetCaller(gone->caller);
     } else if (auto *message = std::get_if<PeerArrived>(&input)) {
