--- a/src/libscheduler/shardsnapshot.cpp
+++ b/src/libscheduler/shardsnapshot.cpp
@@ -71,25 +71,26 @@
 
 void SnapshotWriter::load(LoadHandler then)
 {
-    m_context.callStore(StoreGet { headKey() }, m_lifetime.guard([this, then](const StoreResult &result) {
-        if (!result) {
-            then(tl::unexpected(result.error()));
-            return;
-        }
-        if (result->entries.empty()) {
-            then(std::optional<ShardSnapshot> {});
-            return;
-        }
-        const std::optional<SnapshotHead> head = decodeHead(result->entries.front().value);
-        if (!head) {
-            m_context.log(LogLevel::Error, "snapshot_unreadable", { { "shard", std::to_string(m_shard.value()) } });
-            then(tl::unexpected(StoreError::Unknown));
-            return;
-        }
-        m_headVersion = result->entries.front().version;
-        m_head = *head;
-        loadParts(*head, then);
-    }));
+    m_context.callStore(
+        StoreGet { headKey() }, m_lifetime.guard([this, then = std::move(then)](const StoreResult &result) {
+            if (!result) {
+                then(tl::unexpected(result.error()));
+                return;
+            }
+            if (result->entries.empty()) {
+                then(std::optional<ShardSnapshot> {});
+                return;
+            }
+            const std::optional<SnapshotHead> head = decodeHead(result->entries.front().value);
+            if (!head) {
+                m_context.log(LogLevel::Error, "snapshot_unreadable", { { "shard", std::to_string(m_shard.value()) } });
+                then(tl::unexpected(StoreError::Unknown));
+                return;
+            }
+            m_headVersion = result->entries.front().version;
+            m_head = *head;
+            loadParts(*head, then);
+        }));
 }
 
 void SnapshotWriter::loadParts(const SnapshotHead &head, LoadHandler then)
@@ -103,17 +104,18 @@
         then(std::optional<ShardSnapshot>(std::move(snapshot)));
         return;
     }
-    m_context.callStore(
-        StoreGet { head.parts.at(index) },
-        m_lifetime.guard([this, head, snapshot = std::move(snapshot), index, then](const StoreResult &result) mutable {
-            const bool isThere = result && !result->entries.empty();
-            // A part that is gone belongs to a snapshot that was replaced meanwhile; the load starts again.
-            if (!isThere || !unpackPart(result->entries.front().value, snapshot.tasks)) {
-                then(tl::unexpected(result ? StoreError::Unknown : result.error()));
-                return;
-            }
-            loadPart(head, std::move(snapshot), index + 1, then);
-        }));
+    m_context.callStore(StoreGet { head.parts.at(index) },
+                        m_lifetime.guard([this, head, snapshot = std::move(snapshot), index,
+                                          then = std::move(then)](const StoreResult &result) mutable {
+                            const bool isThere = result && !result->entries.empty();
+                            // A part that is gone belongs to a snapshot that was replaced meanwhile; the load starts
+                            // again.
+                            if (!isThere || !unpackPart(result->entries.front().value, snapshot.tasks)) {
+                                then(tl::unexpected(result ? StoreError::Unknown : result.error()));
+                                return;
+                            }
+                            loadPart(head, std::move(snapshot), index + 1, then);
+                        }));
 }
 
 void SnapshotWriter::write(const ShardSnapshot &snapshot)
--- a/tests/libscheduler/requestworld.cpp
+++ b/tests/libscheduler/requestworld.cpp
@@ -59,13 +59,14 @@
 
 RequestRouter &RequestWorld::addHost(const std::string &name)
 {
-    const auto forward = [this](const HostId &peer, const CallService &request, RequestRouter::ReplyHandler handler) {
+    const auto forward = [this](const HostId &peer, const CallService &request,
+                                const RequestRouter::ReplyHandler &handler) {
         at(linkDelay, [this, peer, request, handler] {
             const auto target = m_hosts.find(peer.value());
             if (target == m_hosts.end() || m_gone[peer.value()]) {
                 return;
             }
-            target->second->handleForwarded(request, [this, handler](CallerReply reply) {
+            target->second->handleForwarded(request, [this, handler](const CallerReply &reply) {
                 if (!m_loseReplies) {
                     at(linkDelay, [handler, reply] { handler(reply); });
                 }
@@ -231,7 +232,7 @@
         script = worker.scripts.front();
         worker.scripts.pop_front();
     }
-    const auto complete = [this, call = action.call](Milliseconds delay, EndpointResult result) {
+    const auto complete = [this, call = action.call](Milliseconds delay, const EndpointResult &result) {
         at(delay, [this, call, result] { context.completeEndpoint(call, result); });
     };
     const auto failure = [](EndpointErrorKind kind, RefusalReason reason = RefusalReason::None) {
--- a/tests/libscheduler/testrequestslots.cpp
+++ b/tests/libscheduler/testrequestslots.cpp
@@ -37,7 +37,9 @@
         world.addWorker("one", "w1");
         world.addWorker("one", "w2", 2);
         std::vector<const Outcome *> outcomes;
-        for (int number = 0; number < 14; ++number) {
+        constexpr int calls = 14;
+        outcomes.reserve(calls);
+        for (int number = 0; number < calls; ++number) {
             outcomes.push_back(&world.call("one", "r" + std::to_string(number), true));
         }
         const int before = world.sends("w1");
--- a/tests/libscheduler/virtualcluster.cpp
+++ b/tests/libscheduler/virtualcluster.cpp
@@ -32,7 +32,7 @@
                                    WorkerState::Live };
         worker.serviceTime = Milliseconds(20);
         worker.usageLag = Milliseconds(500);
-        worker.clockOffset = WorkerTime(1'000'000 * index);
+        worker.clockOffset = WorkerTime(std::int64_t { 1'000'000 } * index);
         platform.workers.push_back(worker);
     }
     m_platform = std::make_unique<StandinPlatform>(platform);
@@ -49,7 +49,7 @@
 
 HostId VirtualCluster::addHost()
 {
-    const HostId id("h" + std::to_string(++m_lastHost));
+    HostId id("h" + std::to_string(++m_lastHost));
     const Milliseconds offset(uniformBelow(m_random, 1'000'000));
     m_hosts.push_back(std::make_unique<Host>(id, m_charts, m_random(), offset));
     turn(*m_hosts.back(), [](Host &host) { host.node.start(); });
