Read the named document in one place for check and diff

Cause: both commands began with the same check of the command line and the same reading of the file. Ruled out: sharing what follows, which differs. Change: an overload of readDocument() takes the command line's findings. Before and after: same output and exit codes for a good file and for a missing one.

--- a/src/currantringctl/configurationcommands.cpp
+++ b/src/currantringctl/configurationcommands.cpp
@@ -159,16 +159,22 @@
     return findings.empty() ? ExitCode::Ok : reportFindings(findings);
 }
 
+/** The document in @p path, or the findings of the command line, or else those of the document. */
+tl::expected<Configuration, Findings> readDocument(const Needs &needs, const std::string &path)
+{
+    if (!needs.findings().empty()) {
+        return tl::unexpected(needs.findings());
+    }
+    return readDocument(path);
+}
+
 } // namespace
 
 ExitCode runCheck(const Settings &settings)
 {
     Needs needs(settings);
     const std::string path = needs.word("FILE");
-    if (!needs.findings().empty()) {
-        return reportFindings(needs.findings());
-    }
-    const tl::expected<Configuration, Findings> document = readDocument(path);
+    const tl::expected<Configuration, Findings> document = readDocument(needs, path);
     if (!document) {
         return reportFindings(document.error());
     }
@@ -181,10 +187,7 @@
 {
     Needs needs(settings);
     const std::string path = needs.word("FILE");
-    if (!needs.findings().empty()) {
-        return reportFindings(needs.findings());
-    }
-    const tl::expected<Configuration, Findings> document = readDocument(path);
+    const tl::expected<Configuration, Findings> document = readDocument(needs, path);
     if (!document) {
         return reportFindings(document.error());
     }
