--- a/src/libcurrantring/ids.h
+++ b/src/libcurrantring/ids.h
@@ -43,6 +43,9 @@
 /** Names a lease granted by the key-value service. */
 using LeaseId = Strong<std::uint64_t, struct LeaseIdTag>;
 
+/** Names a caller that waits at this host. */
+using CallerToken = Strong<std::uint64_t, struct CallerTokenTag>;
+
 /** Address of a process as IP number and port, `127.0.0.1:7001`. */
 using Address = Strong<std::string, struct AddressTag>;
 
--- a/src/libcurrantring/log.cpp
+++ b/src/libcurrantring/log.cpp
@@ -1,11 +1,14 @@
 #include "log.h"
 
+#include "bufferedsink.h"
 #include "eventlimiter.h"
 
 #include <algorithm>
 #include <chrono>
 #include <memory>
 
+#include <unistd.h>
+
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -59,6 +62,8 @@
 struct Log
 {
     std::shared_ptr<spdlog::logger> logger;
+    /** Null when the log isn't gathered. */
+    std::shared_ptr<BufferedSink> buffer;
     EventLimiter limiter;
 };
 
@@ -80,17 +85,40 @@
     processLog().logger->log(spdlog::level::warn, "{}", formatLogEvent(event));
 }
 
-} // namespace
-
-void startLog(LogLevel threshold)
+void startWithSink(LogLevel threshold, const spdlog::sink_ptr &sink)
 {
-    auto logger = std::make_shared<spdlog::logger>("currantring", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    auto logger = std::make_shared<spdlog::logger>("currantring", sink);
     logger->set_pattern("ts=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
     logger->set_level(spdlogLevel(threshold));
-    logger->flush_on(spdlog::level::debug);
     processLog().logger = std::move(logger);
 }
 
+} // namespace
+
+void startLog(LogLevel threshold)
+{
+    startWithSink(threshold, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    processLog().logger->flush_on(spdlog::level::debug);
+}
+
+void startBufferedLog(LogLevel threshold)
+{
+    processLog().buffer = std::make_shared<BufferedSink>(STDOUT_FILENO);
+    startWithSink(threshold, processLog().buffer);
+}
+
+void flushLog(bool isForced)
+{
+    Log &log = processLog();
+    if (!log.buffer) {
+        return;
+    }
+    if (const std::uint64_t dropped = log.buffer->hand(isForced); dropped > 0) {
+        const LogEvent event { LogLevel::Warning, "log_dropped", { { "lines", std::to_string(dropped) } } };
+        log.logger->log(spdlog::level::warn, "{}", formatLogEvent(event));
+    }
+}
+
 void writeLog(const LogEvent &event)
 {
     Log &log = processLog();
--- a/src/libcurrantring/log.h
+++ b/src/libcurrantring/log.h
@@ -14,6 +14,16 @@
  */
 void startLog(LogLevel threshold);
 
+/**
+ * Starts the process's log on standard output, gathered in memory until flushLog().
+ *
+ * Nothing ever waits for the reader: lines that it doesn't take, beyond a bounded buffer, are dropped and counted in a
+ * `log_dropped` line. Precondition: as for startLog(); all writers and flushLog() run on one thread.
+ */
+void startBufferedLog(LogLevel threshold);
+/** Hands the gathered lines to standard output as far as it takes them; a few when @p isForced is false. */
+void flushLog(bool isForced);
+
 /** Writes @p event as one line. Thread safety: may be called from any thread. */
 void writeLog(const LogEvent &event);
 
--- /dev/null
+++ b/src/libjobs/job.cpp
@@ -0,0 +1,113 @@
+#include "job.h"
+
+#include <algorithm>
+#include <array>
+
+namespace currantring {
+
+namespace {
+
+constexpr std::array<std::string_view, 7> runEndNames { "done",   "failed", "stopped", "lapsed",
+                                                        "broken", "alone",  "lost" };
+constexpr std::array<std::string_view, 5> jobPhaseNames { "queued", "running", "completed", "failed", "cancelled" };
+
+} // namespace
+
+std::string_view runEndName(RunEnd end)
+{
+    return runEndNames.at(static_cast<std::size_t>(end));
+}
+
+std::string_view jobPhaseName(JobPhase phase)
+{
+    return jobPhaseNames.at(static_cast<std::size_t>(phase));
+}
+
+const PlacedRun *Task::run(RunNumber number) const
+{
+    const auto found = std::ranges::find(runs, number, &PlacedRun::number);
+    return found == runs.end() ? nullptr : &*found;
+}
+
+Job::Job(std::shared_ptr<const JobSpec> given, WallTime accepted)
+    : spec(std::move(given))
+    , acceptedAt(accepted)
+{
+}
+
+JobPhase Job::phase() const
+{
+    return closedAs.value_or(wasStarted ? JobPhase::Running : JobPhase::Queued);
+}
+
+bool Job::isWholeDone() const
+{
+    return doneOccurrences == spec->occurrences();
+}
+
+bool Job::isStepOpen(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const Occurrence &begun = occurrences.at(occurrence);
+    return std::ranges::all_of(spec->steps.at(step).after,
+                               [&begun](std::uint32_t earlier) { return begun.steps.at(earlier).isDone(); });
+}
+
+void Job::beginOccurrence()
+{
+    Occurrence &begun = occurrences.emplace_back();
+    for (const StepSpec &step : spec->steps) {
+        begun.steps.emplace_back().tasks.resize(step.count);
+    }
+}
+
+Task *Job::task(const TaskRef &ref)
+{
+    return const_cast<Task *>(std::as_const(*this).task(ref));
+}
+
+const Task *Job::task(const TaskRef &ref) const
+{
+    if (ref.step.occurrence >= occurrences.size()) {
+        return nullptr;
+    }
+    const Occurrence &occurrence = occurrences[ref.step.occurrence];
+    if (ref.step.step >= occurrence.steps.size()) {
+        return nullptr;
+    }
+    const std::vector<Task> &tasks = occurrence.steps[ref.step.step].tasks;
+    return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+}
+
+void Job::markDone(const TaskRef &ref)
+{
+    Occurrence &occurrence = occurrences.at(ref.step.occurrence);
+    StepTasks &step = occurrence.steps.at(ref.step.step);
+    step.tasks.at(ref.index).isDone = true;
+    ++step.doneCount;
+    if (step.isDone() && ++occurrence.doneSteps == occurrence.steps.size()) {
+        ++doneOccurrences;
+    }
+}
+
+std::shared_ptr<const StepSpec> Job::step(std::uint32_t index) const
+{
+    return { spec, &spec->steps.at(index) };
+}
+
+std::vector<RunRef> Job::liveRuns() const
+{
+    std::vector<RunRef> live;
+    for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
+        const std::vector<StepTasks> &steps = occurrences[occurrence].steps;
+        for (std::uint32_t step = 0; step < steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
+                for (const PlacedRun &run : steps[step].tasks[index].runs) {
+                    live.push_back({ { { spec->id, occurrence, step }, index }, run.number });
+                }
+            }
+        }
+    }
+    return live;
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/jobcontext.cpp
@@ -0,0 +1,96 @@
+#include "jobcontext.h"
+
+#include <algorithm>
+
+namespace currantring {
+
+JobContext::JobContext(std::uint64_t seed, JobDriver driver)
+    : m_random(seed)
+    , m_driver(std::move(driver))
+{
+}
+
+TimePoint JobContext::now() const
+{
+    return m_now;
+}
+
+WallTime JobContext::wallNow() const
+{
+    return m_wallNow;
+}
+
+Random &JobContext::random()
+{
+    return m_random;
+}
+
+void JobContext::callStore(KvRequest request, Milliseconds timeout, JobDriver::KvHandler then)
+{
+    m_driver.callStore(std::move(request), timeout, std::move(then));
+}
+
+void JobContext::callWorker(const WorkerId &worker, const Address &address, WorkerOrder order, Milliseconds timeout,
+                            JobDriver::WorkerHandler then)
+{
+    m_driver.callWorker(worker, address, std::move(order), timeout, std::move(then));
+}
+
+void JobContext::sendPeer(const HostId &to, const JobMessage &message)
+{
+    m_driver.sendPeer(to, message);
+}
+
+void JobContext::linkPeer(const HostId &peer, const std::optional<Address> &address)
+{
+    m_driver.linkPeer(peer, address);
+}
+
+void JobContext::answerCaller(CallerToken caller, const CallAnswer &answer)
+{
+    m_driver.answerCaller(caller, answer);
+}
+
+void JobContext::log(LogLevel level, std::string_view name, LogFields fields)
+{
+    m_driver.log(LogEvent { level, std::string(name), std::move(fields) });
+}
+
+void JobContext::observe(std::string_view name, const QueueName &queue, std::string_view kind, Milliseconds duration)
+{
+    m_driver.observe(name, queue, kind, duration);
+}
+
+void JobContext::count(std::string_view name, std::string_view reason)
+{
+    m_driver.count(name, reason);
+}
+
+TimerId JobContext::schedule(Milliseconds delay, std::function<void()> then)
+{
+    return m_timers.schedule(m_now + std::max(delay, Milliseconds(0)), std::move(then));
+}
+
+void JobContext::cancel(TimerId timer)
+{
+    m_timers.cancel(timer);
+}
+
+void JobContext::advance(TimePoint now, WallTime wallNow)
+{
+    setTime(now, wallNow);
+    m_timers.runDue(m_now);
+}
+
+void JobContext::setTime(TimePoint now, WallTime wallNow)
+{
+    m_now = std::max(m_now, now);
+    m_wallNow = wallNow;
+}
+
+std::optional<TimePoint> JobContext::nextTimer() const
+{
+    return m_timers.next();
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/joblog.cpp
@@ -0,0 +1,358 @@
+#include "joblog.h"
+
+#include "jobevents.h"
+
+#include <algorithm>
+
+namespace currantring {
+
+namespace {
+
+constexpr Milliseconds pageTimeout { 1500 };
+constexpr Milliseconds loadRetryDelay { 100 };
+constexpr Milliseconds checkTimeout { 1000 };
+/** One try of a commit; a lost answer is found out by the next try, long before. */
+constexpr Milliseconds commitTimeout { 4000 };
+/** Time until an unanswered commit is sent again; doubles with each try. */
+constexpr Milliseconds firstResend { 100 };
+constexpr Milliseconds longestResend { 800 };
+/** Records in one slot, so that a value stays well below the store's limit. */
+constexpr std::size_t recordsPerCommit = 2000;
+constexpr std::size_t payloadBytesPerCommit = 300'000;
+/** Slots trimmed by one commit. */
+constexpr std::size_t trimsPerCommit = 4;
+
+std::size_t payloadBytes(const JobRecord &record)
+{
+    if (const auto *accepted = std::get_if<JobAccepted>(&record)) {
+        return accepted->spec->payload.size();
+    }
+    if (const auto *restated = std::get_if<JobRestated>(&record)) {
+        return restated->job->spec->payload.size();
+    }
+    return 0;
+}
+
+} // namespace
+
+JobLog::JobLog(StoreLayout layout, WriterToken token, std::uint64_t nonce, JobContext &context, JobLogLimits limits,
+               std::function<void()> onLost)
+    : m_layout(layout)
+    , m_token(token)
+    , m_nonce(nonce)
+    , m_context(context)
+    , m_limits(limits)
+    , m_onLost(std::move(onLost))
+    , m_lastConfirmed(context.now())
+{
+}
+
+void JobLog::load(std::function<void()> then)
+{
+    m_onLoaded = std::move(then);
+    loadPage({});
+}
+
+void JobLog::loadPage(const std::string &after)
+{
+    m_context.callStore(KvList { m_layout.logPrefix(), after, false }, pageTimeout,
+                        m_lifetime.guard([this](const KvResult &result) { handlePage(result); }));
+}
+
+void JobLog::handlePage(const KvResult &result)
+{
+    if (!result) {
+        retryLoad();
+        return;
+    }
+    for (const KvEntry &entry : result->entries) {
+        if (const std::uint64_t slot = m_layout.slotOf(entry.key); slot > 0) {
+            m_loaded[slot] = entry.value;
+        }
+    }
+    if (result->hasMore && !result->entries.empty()) {
+        loadPage(result->entries.back().key);
+    } else {
+        replay();
+    }
+}
+
+void JobLog::retryLoad()
+{
+    // No other host writes any more, so the pages read so far hold.
+    m_context.schedule(loadRetryDelay, m_lifetime.guard([this] {
+        loadPage(m_loaded.empty() ? std::string() : m_layout.logKey(m_loaded.rbegin()->first));
+    }));
+}
+
+void JobLog::replay()
+{
+    std::map<std::uint64_t, JobSlot> slots;
+    for (const auto &[number, bytes] : m_loaded) {
+        if (std::optional<JobSlot> slot = decodeJobSlot(bytes)) {
+            slots.emplace(number, std::move(*slot));
+        } else {
+            m_context.log(LogLevel::Error, events::logSlotUnreadable, { { "slot", std::to_string(number) } });
+        }
+    }
+    m_loaded.clear();
+    if (!slots.empty()) {
+        m_firstSlot = slots.rbegin()->second.firstSlot;
+        m_nextSlot = slots.rbegin()->first + 1;
+    }
+    for (auto slot = slots.lower_bound(m_firstSlot); slot != slots.end(); ++slot) {
+        for (const JobRecord &record : slot->second.records) {
+            m_table.apply(record);
+            noteBase(record, slot->first);
+        }
+    }
+    m_context.log(LogLevel::Info, events::logLoaded,
+                  { { "slots", std::to_string(slots.size()) }, { "jobs", std::to_string(m_table.jobs().size()) } });
+    const std::function<void()> then = std::move(m_onLoaded);
+    then();
+}
+
+bool JobLog::append(const JobRecord &record, RecordUrgency urgency, CommitHandler then)
+{
+    if (m_isLost || !m_table.apply(record)) {
+        return false;
+    }
+    m_pending.push_back(record);
+    if (then) {
+        m_pendingHandlers.push_back(std::move(then));
+    }
+    scheduleCommit(urgency == RecordUrgency::Urgent ? Milliseconds(0) : m_limits.relaxedDelay);
+    return true;
+}
+
+void JobLog::flush(CommitHandler then)
+{
+    if (m_pending.empty() && !m_inFlight) {
+        then();
+    } else {
+        m_pendingHandlers.push_back(std::move(then));
+        scheduleCommit(Milliseconds(0));
+    }
+}
+
+void JobLog::scheduleCommit(Milliseconds delay)
+{
+    if (m_inFlight) {
+        return;
+    }
+    const TimePoint due = std::max(m_context.now() + delay, m_lastCommit + m_limits.commitInterval);
+    if (m_commitTimer && m_commitTimer->first <= due) {
+        return;
+    }
+    if (m_commitTimer) {
+        m_context.cancel(m_commitTimer->second);
+    }
+    m_commitTimer = { due, m_context.schedule(due - m_context.now(), m_lifetime.guard([this] {
+                          m_commitTimer.reset();
+                          commit();
+                      })) };
+}
+
+void JobLog::commit()
+{
+    if (m_isLost || m_inFlight || (m_pending.empty() && m_pendingHandlers.empty())) {
+        return;
+    }
+    JobSlot slot { m_nonce, m_firstSlot, {} };
+    std::size_t taken = 0;
+    std::size_t payload = 0;
+    while (taken < m_pending.size() && taken < recordsPerCommit && (taken == 0 || payload < payloadBytesPerCommit)) {
+        payload += payloadBytes(m_pending[taken]);
+        ++taken;
+    }
+    slot.records.assign(std::make_move_iterator(m_pending.begin()),
+                        std::make_move_iterator(m_pending.begin() + static_cast<std::ptrdiff_t>(taken)));
+    m_pending.erase(m_pending.begin(), m_pending.begin() + static_cast<std::ptrdiff_t>(taken));
+    Group group;
+    group.slot = m_nextSlot++;
+    group.begunAt = m_context.now();
+    if (m_pending.empty()) {
+        group.handlers = std::exchange(m_pendingHandlers, {});
+    }
+    for (const JobRecord &record : slot.records) {
+        noteBase(record, group.slot);
+    }
+    group.commit.conditions = { { m_layout.claimKey(), StoreRevision(m_token.value()) },
+                                { m_layout.logKey(group.slot), StoreRevision(0) } };
+    trim(slot, group.commit);
+    group.commit.puts = { { m_layout.logKey(group.slot), encodeJobSlot(slot), std::nullopt } };
+    m_inFlight = std::move(group);
+    m_lastCommit = m_context.now();
+    send();
+}
+
+void JobLog::trim(JobSlot &slot, KvCommit &commit)
+{
+    const std::uint64_t current = m_nextSlot - 1;
+    for (std::size_t trimmed = 0; trimmed < trimsPerCommit && current - m_firstSlot >= m_limits.slots; ++trimmed) {
+        restateJobs(m_firstSlot, current, slot);
+        commit.deletes.push_back(m_layout.logKey(m_firstSlot));
+        ++m_firstSlot;
+    }
+    slot.firstSlot = m_firstSlot;
+}
+
+void JobLog::restateJobs(std::uint64_t slot, std::uint64_t into, JobSlot &group)
+{
+    const auto based = m_basedJobs.extract(slot);
+    if (based.empty()) {
+        return;
+    }
+    for (const JobId &id : based.mapped()) {
+        const Job *const job = m_table.find(id);
+        if (job == nullptr || m_baseSlot[id] != slot) {
+            continue;
+        }
+        if (isForgettable(*job)) {
+            m_baseSlot.erase(id);
+            m_table.forget(id);
+            continue;
+        }
+        // The table holds the records that wait for the next commit, too; applying these again has no effect.
+        const JobRestated restated { std::make_shared<const Job>(*job) };
+        noteBase(restated, into);
+        group.records.emplace_back(restated);
+    }
+}
+
+bool JobLog::isForgettable(const Job &job) const
+{
+    const Milliseconds age(m_context.wallNow().value() - job.closedAt.value());
+    return job.isClosed() && job.liveRuns().empty() && age > m_limits.retention;
+}
+
+void JobLog::noteBase(const JobRecord &record, std::uint64_t slot)
+{
+    if (std::holds_alternative<JobAccepted>(record) || std::holds_alternative<JobRestated>(record)) {
+        m_baseSlot[jobOf(record)] = slot;
+        m_basedJobs[slot].push_back(jobOf(record));
+    }
+}
+
+void JobLog::send()
+{
+    if (!m_inFlight || m_isLost) {
+        return;
+    }
+    Group &group = *m_inFlight;
+    const Milliseconds resend = std::min(firstResend * (1 << std::min(group.tries, 4U)), longestResend);
+    ++group.tries;
+    m_context.callStore(group.commit, commitTimeout,
+                        m_lifetime.guard([this, slot = group.slot, sentAt = m_context.now()](const KvResult &result) {
+                            handleCommit(slot, sentAt, result);
+                        }));
+    m_resendTimer = m_context.schedule(resend, m_lifetime.guard([this] { send(); }));
+}
+
+void JobLog::handleCommit(std::uint64_t slot, TimePoint sentAt, const KvResult &result)
+{
+    if (!m_inFlight || m_inFlight->slot != slot || m_isLost) {
+        return;
+    }
+    if (result) {
+        finishCommit(sentAt);
+    } else if (result.error().kind == KvErrorKind::Conflict) {
+        handleConflict(result.error(), sentAt);
+    }
+    // Anything else is tried again by the timer.
+}
+
+void JobLog::handleConflict(const KvError &error, TimePoint sentAt)
+{
+    for (const KvEntry &entry : error.entries) {
+        if (entry.key == m_layout.logKey(m_inFlight->slot)) {
+            const std::optional<JobSlot> found = decodeJobSlot(entry.value);
+            if (found && found->nonce == m_nonce) {
+                // An earlier try took effect, and its answer was lost or is late.
+                finishCommit(sentAt);
+            } else {
+                lose("slot-taken");
+            }
+            return;
+        }
+    }
+    lose("claim-superseded");
+}
+
+void JobLog::finishCommit(TimePoint sentAt)
+{
+    if (m_resendTimer) {
+        m_context.cancel(*m_resendTimer);
+        m_resendTimer.reset();
+    }
+    m_lastConfirmed = std::max(m_lastConfirmed, sentAt);
+    const Group group = std::move(*m_inFlight);
+    m_inFlight.reset();
+    if (!m_pending.empty() || !m_pendingHandlers.empty()) {
+        scheduleCommit(Milliseconds(0));
+    }
+    for (const CommitHandler &handler : group.handlers) {
+        handler();
+    }
+}
+
+void JobLog::checkWriter(std::function<void(WriterCheck)> then)
+{
+    m_context.callStore(
+        KvGet { m_layout.claimKey() }, checkTimeout,
+        m_lifetime.guard([this, then = std::move(then), sentAt = m_context.now()](const KvResult &result) {
+            if (!result) {
+                then(WriterCheck::NoAnswer);
+                return;
+            }
+            const bool isOurs =
+                !result->entries.empty() && result->entries.front().revision.value() == m_token.value();
+            if (isOurs) {
+                m_lastConfirmed = std::max(m_lastConfirmed, sentAt);
+                then(WriterCheck::StillWriter);
+            } else {
+                then(WriterCheck::Superseded);
+                lose("claim-superseded");
+            }
+        }));
+}
+
+void JobLog::lose(std::string_view reason)
+{
+    if (m_isLost) {
+        return;
+    }
+    m_isLost = true;
+    m_context.log(LogLevel::Warning, events::shardLost,
+                  { { "token", std::to_string(m_token.value()) }, { "reason", std::string(reason) } });
+    // The owner drops this object in it.
+    const std::function<void()> onLost = std::move(m_onLost);
+    onLost();
+}
+
+JobTable &JobLog::table()
+{
+    return m_table;
+}
+
+const JobTable &JobLog::table() const
+{
+    return m_table;
+}
+
+TimePoint JobLog::lastConfirmed() const
+{
+    return m_lastConfirmed;
+}
+
+Milliseconds JobLog::commitAge() const
+{
+    return m_inFlight ? m_context.now() - m_inFlight->begunAt : Milliseconds(0);
+}
+
+std::size_t JobLog::slotCount() const
+{
+    return m_nextSlot - m_firstSlot;
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/jobmessage.cpp
@@ -0,0 +1,142 @@
+#include "jobmessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace currantring {
+
+namespace {
+
+using nlohmann::json;
+
+/** Kinds as sent; hosts of neighbouring versions must agree on them. */
+enum MessageKind : int { HostBeatKind = 1, WriterBeatKind, OfferKind, CallKind, AnswerKind, HandOverKind };
+enum CallKindNumber : int { SubmitKind = 1, ReadKind, CancelKind, CountKind };
+
+json encodeCall(const CallerCall &call)
+{
+    if (const auto *submit = std::get_if<SubmitJob>(&call)) {
+        return json::array({ SubmitKind, encodeJobSpec(*submit->spec) });
+    }
+    if (const auto *read = std::get_if<ReadJob>(&call)) {
+        return json::array({ ReadKind, read->job.value() });
+    }
+    if (const auto *cancel = std::get_if<CancelJob>(&call)) {
+        return json::array({ CancelKind, cancel->job.value() });
+    }
+    return json::array({ CountKind, std::get<CountWaiting>(call).queue.value() });
+}
+
+CallerCall decodeCall(const json &source)
+{
+    switch (source.at(0).get<int>()) {
+    case SubmitKind:
+        return SubmitJob { std::make_shared<const JobSpec>(decodeJobSpec(source.at(1))) };
+    case ReadKind:
+        return ReadJob { JobId(source.at(1).get<std::string>()) };
+    case CancelKind:
+        return CancelJob { JobId(source.at(1).get<std::string>()) };
+    case CountKind:
+        return CountWaiting { QueueName(source.at(1).get<std::string>()) };
+    default:
+        throw json::other_error::create(501, "unknown kind of call", nullptr);
+    }
+}
+
+struct Encoder
+{
+    json operator()(const HostBeat &beat) const
+    {
+        return json::array({ HostBeatKind, beat.address.value(), beat.configuration.value(), beat.storeAge.count(),
+                             beat.uptime.count(), beat.processors.value(), beat.isLeaving });
+    }
+    json operator()(const WriterBeat &beat) const
+    {
+        return json::array({ WriterBeatKind, beat.token.value(), beat.address.value(), beat.configuration.value(),
+                             beat.isStuck });
+    }
+    json operator()(const ConfigurationOffer &offer) const
+    {
+        return json::array({ OfferKind, json::binary({ offer.text.begin(), offer.text.end() }) });
+    }
+    json operator()(const ForwardedCall &call) const
+    {
+        return json::array({ CallKind, call.number.value(), encodeCall(call.call), call.timeLeft.count() });
+    }
+    json operator()(const ForwardedAnswer &answer) const
+    {
+        return json::array({ AnswerKind, answer.number.value(), static_cast<int>(answer.answer.outcome),
+                             static_cast<int>(answer.answer.phase), answer.answer.waiting,
+                             answer.answer.retryAfter.count() });
+    }
+    json operator()(const HandOver &handOver) const
+    {
+        return json::array({ HandOverKind, handOver.token.value() });
+    }
+};
+
+Milliseconds milliseconds(const json &source)
+{
+    return Milliseconds(source.get<std::int64_t>());
+}
+
+template<typename Enum>
+Enum enumValue(const json &source, Enum last)
+{
+    const int value = source.get<int>();
+    if (value < 0 || value > static_cast<int>(last)) {
+        throw json::other_error::create(501, "number out of range", nullptr);
+    }
+    return static_cast<Enum>(value);
+}
+
+JobMessage decodeMessage(const json &source)
+{
+    switch (source.at(0).get<int>()) {
+    case HostBeatKind:
+        return HostBeat { Address(source.at(1).get<std::string>()),
+                          ConfigurationVersion(source.at(2).get<std::uint64_t>()),
+                          milliseconds(source.at(3)),
+                          milliseconds(source.at(4)),
+                          Millicores(source.at(5).get<std::int64_t>()),
+                          source.at(6).get<bool>() };
+    case WriterBeatKind:
+        return WriterBeat { WriterToken(source.at(1).get<std::uint64_t>()), Address(source.at(2).get<std::string>()),
+                            ConfigurationVersion(source.at(3).get<std::uint64_t>()), source.at(4).get<bool>() };
+    case OfferKind: {
+        const json::binary_t &text = source.at(1).get_binary();
+        return ConfigurationOffer { std::string(text.begin(), text.end()) };
+    }
+    case CallKind:
+        return ForwardedCall { ForwardNumber(source.at(1).get<std::uint64_t>()), decodeCall(source.at(2)),
+                               milliseconds(source.at(3)) };
+    case AnswerKind:
+        return ForwardedAnswer { ForwardNumber(source.at(1).get<std::uint64_t>()),
+                                 { enumValue(source.at(2), CallOutcome::Undecided),
+                                   enumValue(source.at(3), JobPhase::Cancelled), source.at(4).get<std::uint64_t>(),
+                                   milliseconds(source.at(5)) } };
+    case HandOverKind:
+        return HandOver { WriterToken(source.at(1).get<std::uint64_t>()) };
+    default:
+        throw json::other_error::create(501, "unknown kind of message", nullptr);
+    }
+}
+
+} // namespace
+
+std::string encodeJobMessage(const JobMessage &message)
+{
+    std::string bytes;
+    json::to_cbor(std::visit(Encoder {}, message), bytes);
+    return bytes;
+}
+
+std::optional<JobMessage> decodeJobMessage(std::string_view bytes)
+{
+    try {
+        return decodeMessage(json::from_cbor(bytes));
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/jobnode.cpp
@@ -0,0 +1,398 @@
+#include "jobnode.h"
+
+#include "jobevents.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantring {
+
+namespace {
+
+constexpr Milliseconds beatInterval { 400 };
+/** A writer that wasn't heard for this time is taken as out of reach. */
+constexpr Milliseconds writerSilence { 1000 };
+/** A host that wasn't heard for this time doesn't count any more. */
+constexpr Milliseconds hostSilence { 1200 };
+constexpr Milliseconds hostForgotten { 10'000 };
+/** Time in which hosts find a new writer. */
+constexpr Milliseconds settlingTime { 1500 };
+/** A writer whose commit waits for longer lets others try. */
+constexpr Milliseconds stuckAge { 600 };
+/** Watches wait so long while the writer's beats tell of a new configuration as well. */
+constexpr Milliseconds longWatch { 8000 };
+constexpr Milliseconds shortWatch { 1500 };
+/** Time that a writer may extend workers' leases after the store last confirmed it. */
+constexpr Milliseconds confirmationTerm { 5000 };
+constexpr Milliseconds registerTimeout { 1500 };
+constexpr Milliseconds retryDelay { 300 };
+/** How long a stopping writer waits for the store. */
+constexpr Milliseconds finishPatience { 1000 };
+
+} // namespace
+
+JobNode::JobNode(JobNodeOptions options, SiteFormats formats, JobContext &context)
+    : m_options(std::move(options))
+    , m_formats(std::move(formats))
+    , m_context(context)
+    , m_startedAt(context.now())
+    , m_configurationWatch(m_formats.configurationKey, context, { [this](const KvEntry &entry) {
+                               if (!entry.isDeleted) {
+                                   takeConfiguration(entry.value, "store");
+                               }
+                           } })
+    , m_election(m_layout,
+                 { m_options.self, m_options.peerAddress, m_options.nonce, m_options.processors,
+                   std::max(m_options.shortestStoreLease, Milliseconds(1000)) },
+                 context,
+                 { [this](WriterToken token) { claimed(token); }, [this] { deposed(); },
+                   [this](const WriterClaim &claim) {
+                       followWriter(claim);
+                   } })
+    , m_gateway(context, [this](ForwardNumber number, const CallerCall &call, Milliseconds timeLeft) {
+        return sendCall(number, call, timeLeft);
+    })
+{
+}
+
+void JobNode::start()
+{
+    m_configurationWatch.setWait(shortWatch);
+    m_configurationWatch.start();
+    m_election.start();
+    registerHost();
+    beat();
+}
+
+void JobNode::registerHost()
+{
+    KvCommit commit;
+    commit.puts = { { StoreLayout::hostKey(m_options.self), m_options.peerAddress.value(), std::nullopt } };
+    m_context.callStore(std::move(commit), registerTimeout, m_lifetime.guard([this](const KvResult &result) {
+        if (!result) {
+            m_context.schedule(retryDelay, m_lifetime.guard([this] { registerHost(); }));
+        }
+    }));
+}
+
+void JobNode::takeConfiguration(const std::string &text, std::string_view source)
+{
+    const tl::expected<SiteConfiguration, Findings> decoded = m_formats.decodeConfiguration(text);
+    if (!decoded) {
+        for (const Finding &finding : decoded.error()) {
+            m_context.log(LogLevel::Error, events::configurationRefused,
+                          { { "source", std::string(source) },
+                            { "place", finding.place },
+                            { "finding", finding.message } });
+        }
+        return;
+    }
+    if (m_configuration && decoded->version <= m_configuration->version) {
+        return;
+    }
+    m_configuration = std::make_shared<const SiteConfiguration>(*decoded);
+    m_configurationText = text;
+    m_context.log(LogLevel::Info, events::configurationInForce,
+                  { { "version", std::to_string(decoded->version.value()) },
+                    { "queues", std::to_string(decoded->queues.size()) },
+                    { "source", std::string(source) } });
+    if (m_configurationHandler) {
+        m_configurationHandler();
+    }
+    if (m_writer) {
+        m_writer->reconsider();
+    }
+}
+
+void JobNode::handleCall(CallerToken caller, CallerCall call, Milliseconds timeLeft)
+{
+    m_gateway.take(caller, std::move(call), timeLeft);
+}
+
+void JobNode::forgetCaller(CallerToken caller)
+{
+    m_gateway.forget(caller);
+}
+
+bool JobNode::sendCall(ForwardNumber number, const CallerCall &call, Milliseconds timeLeft)
+{
+    if (m_writer) {
+        m_writer->handle(call, m_lifetime.guard([this, number](const CallAnswer &answer) {
+            m_gateway.complete(number, answer);
+        }));
+        return true;
+    }
+    if (!hearsWriter()) {
+        return false;
+    }
+    m_context.sendPeer(m_election.claim()->host, ForwardedCall { number, call, timeLeft });
+    return true;
+}
+
+bool JobNode::hearsWriter() const
+{
+    return m_election.claim() && m_lastWriterBeat && m_context.now() - *m_lastWriterBeat < writerSilence;
+}
+
+bool JobNode::hearsMostHosts() const
+{
+    if (m_context.now() - m_claimedAt < settlingTime) {
+        return true;
+    }
+    std::size_t heard = 0;
+    std::size_t known = 0;
+    for (const auto &[host, peer] : m_peers) {
+        // A host that never answered may be one that was removed long ago.
+        known += peer.lastBeat ? 1 : 0;
+        heard += peer.lastBeat && m_context.now() - *peer.lastBeat < hostSilence ? 1 : 0;
+    }
+    return known == 0 ? m_peers.empty() : heard * 2 >= known;
+}
+
+void JobNode::beat()
+{
+    if (m_writer) {
+        beatAsWriter();
+    } else if (m_election.claim()) {
+        const TimePoint storeAnswer = m_election.lastStoreAnswer().value_or(m_startedAt);
+        m_context.sendPeer(m_election.claim()->host,
+                           HostBeat { m_options.peerAddress,
+                                      m_configuration ? m_configuration->version : ConfigurationVersion(0),
+                                      m_context.now() - storeAnswer, m_context.now() - m_startedAt,
+                                      m_options.processors, m_isStopping });
+    }
+    m_configurationWatch.setWait(hearsWriter() ? longWatch : shortWatch);
+    m_context.schedule(beatInterval, m_lifetime.guard([this] { beat(); }));
+}
+
+void JobNode::beatAsWriter()
+{
+    std::erase_if(m_peers, [this](const auto &entry) {
+        const bool isOld = entry.second.lastBeat && m_context.now() - *entry.second.lastBeat > hostForgotten;
+        if (isOld) {
+            m_context.linkPeer(entry.first, std::nullopt);
+        }
+        return isOld;
+    });
+    m_election.setYielding(!hearsMostHosts());
+    const WriterBeat beat { WriterToken(m_election.claim()->token), m_options.peerAddress,
+                            m_configuration ? m_configuration->version : ConfigurationVersion(0),
+                            m_writer->commitAge() > stuckAge };
+    for (const auto &[host, peer] : m_peers) {
+        m_context.sendPeer(host, beat);
+    }
+}
+
+void JobNode::claimed(WriterToken token)
+{
+    m_claimedAt = m_context.now();
+    RunDirector::Options options;
+    options.token = token;
+    options.timing = m_options.timing;
+    options.confirmationTerm = confirmationTerm;
+    options.inheritedUntil = m_context.now() + confirmationTerm + m_options.timing.longestLease;
+    m_writer = std::make_unique<JobWriter>(
+        m_layout, options, m_options.nonce, m_formats, m_context,
+        JobWriter::Handlers { [this] { return m_configuration; },
+                              [this] {
+                                  m_context.schedule(Milliseconds(0), m_lifetime.guard([this] { deposed(); }));
+                              } });
+    findHosts({});
+    m_writer->begin();
+    m_gateway.resend();
+}
+
+void JobNode::deposed()
+{
+    // The writer's own code may be running.
+    m_context.schedule(Milliseconds(0), [writer = std::shared_ptr<JobWriter>(std::move(m_writer))] {});
+    m_lastWriterBeat.reset();
+    for (const auto &[host, peer] : m_peers) {
+        m_context.linkPeer(host, std::nullopt);
+    }
+    m_peers.clear();
+}
+
+void JobNode::findHosts(const std::string &after)
+{
+    m_context.callStore(
+        KvList { StoreLayout::hostsPrefix(), after, true }, registerTimeout,
+        m_lifetime.guard([this, after](const KvResult &result) {
+            if (!result) {
+                m_context.schedule(retryDelay, m_lifetime.guard([this, after] { findHosts(after); }));
+                return;
+            }
+            for (const KvEntry &entry : result->entries) {
+                const HostId host = StoreLayout::hostOf(entry.key);
+                if (host != m_options.self && m_writer && m_peers.try_emplace(host).second) {
+                    m_peers[host].address = Address(entry.value);
+                    m_context.linkPeer(host, Address(entry.value));
+                }
+            }
+            if (result->hasMore && !result->entries.empty()) {
+                findHosts(result->entries.back().key);
+            }
+        }));
+}
+
+void JobNode::followWriter(const WriterClaim &claim)
+{
+    m_lastWriterBeat.reset();
+    if (m_linkedWriter && *m_linkedWriter != claim.host && !m_writer) {
+        m_context.linkPeer(*m_linkedWriter, std::nullopt);
+    }
+    m_linkedWriter.reset();
+    if (claim.host != m_options.self) {
+        m_linkedWriter = claim.host;
+        m_context.linkPeer(claim.host, claim.address);
+    }
+}
+
+void JobNode::handlePeer(const HostId &from, const JobMessage &message)
+{
+    if (const auto *hostBeat = std::get_if<HostBeat>(&message)) {
+        takeHostBeat(from, *hostBeat);
+    } else if (const auto *writerBeat = std::get_if<WriterBeat>(&message)) {
+        takeWriterBeat(from, *writerBeat);
+    } else if (const auto *offer = std::get_if<ConfigurationOffer>(&message)) {
+        takeConfiguration(offer->text, from.value());
+    } else if (const auto *call = std::get_if<ForwardedCall>(&message)) {
+        if (m_writer) {
+            m_writer->handle(call->call, m_lifetime.guard([this, from, number = call->number](const CallAnswer &answer) {
+                m_context.sendPeer(from, ForwardedAnswer { number, answer });
+            }));
+        }
+    } else if (const auto *answer = std::get_if<ForwardedAnswer>(&message)) {
+        m_gateway.complete(answer->number, answer->answer);
+    } else if (const auto *handOver = std::get_if<HandOver>(&message)) {
+        m_election.takeOver(handOver->token);
+    }
+}
+
+void JobNode::takeHostBeat(const HostId &from, const HostBeat &beat)
+{
+    if (!m_writer) {
+        return;
+    }
+    Peer &peer = m_peers[from];
+    if (peer.address != beat.address) {
+        peer.address = beat.address;
+        m_context.linkPeer(from, beat.address);
+    }
+    const bool isNew = !peer.lastBeat;
+    peer.lastBeat = m_context.now();
+    peer.beat = beat;
+    if (m_configuration && beat.configuration < m_configuration->version && !isNew) {
+        m_context.sendPeer(from, ConfigurationOffer { m_configurationText });
+    }
+}
+
+void JobNode::takeWriterBeat(const HostId &from, const WriterBeat &beat)
+{
+    m_election.noteBeat(beat.token, beat.isStuck);
+    const bool isKnown = m_election.claim() && m_election.claim()->token == beat.token;
+    if (!isKnown || m_writer) {
+        return;
+    }
+    const bool wasHeard = hearsWriter();
+    m_lastWriterBeat = m_context.now();
+    if (!wasHeard) {
+        m_context.log(LogLevel::Info, events::writerRegained,
+                      { { "writer", from.value() }, { "token", std::to_string(beat.token.value()) } });
+        m_gateway.resend();
+    }
+    if (m_configuration && beat.configuration > m_configuration->version) {
+        m_configurationWatch.refresh();
+    }
+}
+
+void JobNode::handleLinkLost(const HostId &peer)
+{
+    if (m_linkedWriter && *m_linkedWriter == peer && m_lastWriterBeat) {
+        m_context.log(LogLevel::Warning, events::writerLost, { { "writer", peer.value() } });
+        m_lastWriterBeat.reset();
+    }
+}
+
+void JobNode::stop(std::function<void()> then)
+{
+    m_isStopping = true;
+    if (!m_writer) {
+        m_election.retire();
+        then();
+        return;
+    }
+    const auto finished = std::make_shared<bool>(false);
+    const auto once = m_lifetime.guard([this, finished, then = std::move(then)] {
+        if (!std::exchange(*finished, true)) {
+            handOver(then);
+        }
+    });
+    m_writer->finish(once);
+    m_context.schedule(finishPatience, once);
+}
+
+void JobNode::handOver(const std::function<void()> &then)
+{
+    if (m_writer) {
+        const std::optional<HostId> successor = chooseSuccessor();
+        const WriterToken token = m_election.claim()->token;
+        m_context.log(LogLevel::Info, events::shardHandedOver,
+                      { { "to", successor ? successor->value() : "anyone" },
+                        { "token", std::to_string(token.value()) } });
+        if (successor) {
+            m_context.sendPeer(*successor, HandOver { token });
+        }
+        m_context.schedule(Milliseconds(0), [writer = std::shared_ptr<JobWriter>(std::move(m_writer))] {});
+    }
+    m_election.retire();
+    then();
+}
+
+std::optional<HostId> JobNode::chooseSuccessor() const
+{
+    const Peer *best = nullptr;
+    std::optional<HostId> host;
+    for (const auto &[id, peer] : m_peers) {
+        const bool isFresh = peer.lastBeat && m_context.now() - *peer.lastBeat < hostSilence;
+        if (!isFresh || peer.beat.isLeaving) {
+            continue;
+        }
+        // In a rolling restart the host that was restarted last is the one that stays longest.
+        const auto better = [](const Peer &left, const Peer &right) {
+            return std::pair(right.beat.processors, left.beat.uptime) < std::pair(left.beat.processors, right.beat.uptime);
+        };
+        if (best == nullptr || better(peer, *best)) {
+            best = &peer;
+            host = id;
+        }
+    }
+    return host;
+}
+
+std::shared_ptr<const SiteConfiguration> JobNode::configuration() const
+{
+    return m_configuration;
+}
+
+void JobNode::onConfiguration(std::function<void()> handler)
+{
+    m_configurationHandler = std::move(handler);
+}
+
+bool JobNode::isReady() const
+{
+    return m_configuration && !m_isStopping && (m_writer || hearsWriter());
+}
+
+bool JobNode::isWriter() const
+{
+    return m_writer != nullptr;
+}
+
+std::size_t JobNode::waitingCalls() const
+{
+    return m_gateway.waiting();
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/jobrecord.cpp
@@ -0,0 +1,207 @@
+#include "jobrecord.h"
+
+#include <nlohmann/json.hpp>
+
+namespace currantring {
+
+namespace {
+
+using nlohmann::json;
+
+/** Kinds of records as stored; never renumbered. */
+enum RecordKind : int { AcceptedKind = 1, PlacedKind, EndedKind, ClosedKind, RestatedKind };
+
+json encodeTask(const TaskRef &task)
+{
+    return json::array({ task.step.job.value(), task.step.occurrence, task.step.step, task.index });
+}
+
+TaskRef decodeTask(const json &source)
+{
+    return { { JobId(source.at(0).get<std::string>()), source.at(1).get<std::uint32_t>(),
+               source.at(2).get<std::uint32_t>() },
+             source.at(3).get<std::uint32_t>() };
+}
+
+/** Tasks that were never touched are left out. */
+json encodeProgress(const Task &task, std::uint32_t index)
+{
+    json runs = json::array();
+    for (const PlacedRun &run : task.runs) {
+        runs.push_back(json::array({ run.number.value(), run.worker.value(), run.life.value() }));
+    }
+    return json::array({ index, task.isDone, task.failures, task.lastRun.value(), task.checkpoint.value(), runs });
+}
+
+json encodeOccurrence(const Occurrence &occurrence)
+{
+    json steps = json::array();
+    for (const StepTasks &step : occurrence.steps) {
+        json tasks = json::array();
+        for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+            if (step.tasks[index].lastRun.value() > 0) {
+                tasks.push_back(encodeProgress(step.tasks[index], index));
+            }
+        }
+        steps.push_back(std::move(tasks));
+    }
+    return steps;
+}
+
+json encodeJob(const Job &job)
+{
+    json occurrences = json::array();
+    for (const Occurrence &occurrence : job.occurrences) {
+        occurrences.push_back(encodeOccurrence(occurrence));
+    }
+    return json::array({ encodeJobSpec(*job.spec), job.acceptedAt.value(), std::move(occurrences), job.wasStarted,
+                         job.closedAs ? static_cast<int>(*job.closedAs) : -1, job.closedAt.value() });
+}
+
+void decodeProgress(Job &job, StepRef step, const json &source)
+{
+    const TaskRef ref { std::move(step), source.at(0).get<std::uint32_t>() };
+    Task *const task = job.task(ref);
+    if (task == nullptr) {
+        throw json::other_error::create(501, "no such task", nullptr);
+    }
+    task->failures = source.at(2).get<std::uint32_t>();
+    task->lastRun = RunNumber(source.at(3).get<std::uint32_t>());
+    task->checkpoint = CheckpointId(source.at(4).get<std::string>());
+    for (const json &run : source.at(5)) {
+        task->runs.push_back({ RunNumber(run.at(0).get<std::uint32_t>()), WorkerId(run.at(1).get<std::string>()),
+                               WorkerLife(run.at(2).get<std::int64_t>()) });
+    }
+    if (source.at(1).get<bool>()) {
+        job.markDone(ref);
+    }
+}
+
+std::shared_ptr<const Job> decodeJob(const json &source)
+{
+    auto job =
+        std::make_shared<Job>(std::make_shared<const JobSpec>(decodeJobSpec(source.at(0))),
+                                     WallTime(source.at(1).get<std::int64_t>()));
+    std::uint32_t number = 0;
+    for (const json &occurrence : source.at(2)) {
+        job->beginOccurrence();
+        for (std::uint32_t step = 0; step < occurrence.size(); ++step) {
+            for (const json &task : occurrence.at(step)) {
+                decodeProgress(*job, { job->spec->id, number, step }, task);
+            }
+        }
+        ++number;
+    }
+    job->wasStarted = source.at(3).get<bool>();
+    if (const int closedAs = source.at(4).get<int>(); closedAs >= 0) {
+        job->closedAs = static_cast<JobPhase>(closedAs);
+    }
+    job->closedAt = WallTime(source.at(5).get<std::int64_t>());
+    return job;
+}
+
+struct Encoder
+{
+    json operator()(const JobAccepted &record) const
+    {
+        return json::array({ AcceptedKind, encodeJobSpec(*record.spec), record.at.value() });
+    }
+    json operator()(const RunPlaced &record) const
+    {
+        return json::array({ PlacedKind, encodeTask(record.run.task), record.run.number.value(),
+                             record.worker.value(), record.life.value() });
+    }
+    json operator()(const RunEnded &record) const
+    {
+        return json::array({ EndedKind, encodeTask(record.run.task), record.run.number.value(),
+                             static_cast<int>(record.end), record.checkpoint.value() });
+    }
+    json operator()(const JobClosed &record) const
+    {
+        return json::array({ ClosedKind, record.job.value(), static_cast<int>(record.as), record.at.value() });
+    }
+    json operator()(const JobRestated &record) const
+    {
+        return json::array({ RestatedKind, encodeJob(*record.job) });
+    }
+};
+
+JobRecord decodeRecord(const json &source)
+{
+    switch (source.at(0).get<int>()) {
+    case AcceptedKind:
+        return JobAccepted { std::make_shared<const JobSpec>(decodeJobSpec(source.at(1))),
+                             WallTime(source.at(2).get<std::int64_t>()) };
+    case PlacedKind:
+        return RunPlaced { { decodeTask(source.at(1)), RunNumber(source.at(2).get<std::uint32_t>()) },
+                           WorkerId(source.at(3).get<std::string>()), WorkerLife(source.at(4).get<std::int64_t>()) };
+    case EndedKind:
+        return RunEnded { { decodeTask(source.at(1)), RunNumber(source.at(2).get<std::uint32_t>()) },
+                          static_cast<RunEnd>(source.at(3).get<int>()),
+                          CheckpointId(source.at(4).get<std::string>()) };
+    case ClosedKind:
+        return JobClosed { JobId(source.at(1).get<std::string>()), static_cast<JobPhase>(source.at(2).get<int>()),
+                           WallTime(source.at(3).get<std::int64_t>()) };
+    case RestatedKind:
+        return JobRestated { decodeJob(source.at(1)) };
+    default:
+        throw json::other_error::create(501, "unknown kind of record", nullptr);
+    }
+}
+
+} // namespace
+
+const JobId &jobOf(const JobRecord &record)
+{
+    struct Finder
+    {
+        const JobId &operator()(const JobAccepted &accepted) const
+        {
+            return accepted.spec->id;
+        }
+        const JobId &operator()(const RunPlaced &placed) const
+        {
+            return placed.run.task.step.job;
+        }
+        const JobId &operator()(const RunEnded &ended) const
+        {
+            return ended.run.task.step.job;
+        }
+        const JobId &operator()(const JobClosed &closed) const
+        {
+            return closed.job;
+        }
+        const JobId &operator()(const JobRestated &restated) const
+        {
+            return restated.job->spec->id;
+        }
+    };
+    return std::visit(Finder {}, record);
+}
+
+std::string encodeJobSlot(const JobSlot &slot)
+{
+    json records = json::array();
+    for (const JobRecord &record : slot.records) {
+        records.push_back(std::visit(Encoder {}, record));
+    }
+    std::string bytes;
+    json::to_cbor(json::array({ slot.nonce, slot.firstSlot, std::move(records) }), bytes);
+    return bytes;
+}
+
+std::optional<JobSlot> decodeJobSlot(std::string_view bytes)
+{
+    try {
+        const json source = json::from_cbor(bytes);
+        JobSlot slot { source.at(0).get<std::uint64_t>(), source.at(1).get<std::uint64_t>(), {} };
+        for (const json &record : source.at(2)) {
+            slot.records.push_back(decodeRecord(record));
+        }
+        return slot;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/jobtable.cpp
@@ -0,0 +1,138 @@
+#include "jobtable.h"
+
+#include <algorithm>
+
+namespace currantring {
+
+bool JobTable::apply(const JobRecord &record)
+{
+    if (const auto *accepted = std::get_if<JobAccepted>(&record)) {
+        return accept(*accepted);
+    }
+    if (const auto *placed = std::get_if<RunPlaced>(&record)) {
+        return place(*placed);
+    }
+    if (const auto *ended = std::get_if<RunEnded>(&record)) {
+        return end(*ended);
+    }
+    if (const auto *closed = std::get_if<JobClosed>(&record)) {
+        return close(*closed);
+    }
+    const auto &restated = std::get<JobRestated>(record);
+    m_jobs.insert_or_assign(restated.job->spec->id, *restated.job);
+    return true;
+}
+
+bool JobTable::accept(const JobAccepted &record)
+{
+    const auto [place, isNew] = m_jobs.try_emplace(record.spec->id, record.spec, record.at);
+    if (isNew && !record.spec->schedule) {
+        place->second.beginOccurrence();
+    }
+    return isNew;
+}
+
+bool JobTable::place(const RunPlaced &record)
+{
+    const auto found = m_jobs.find(record.run.task.step.job);
+    if (found == m_jobs.end()) {
+        return false;
+    }
+    Job &job = found->second;
+    // Occurrences are begun by time, which the log doesn't tell.
+    while (job.occurrences.size() <= record.run.task.step.occurrence
+           && job.occurrences.size() < job.spec->occurrences()) {
+        job.beginOccurrence();
+    }
+    Task *const task = job.task(record.run.task);
+    if (task == nullptr || task->lastRun >= record.run.number) {
+        return false;
+    }
+    task->lastRun = record.run.number;
+    task->runs.push_back({ record.run.number, record.worker, record.life });
+    job.wasStarted = true;
+    return true;
+}
+
+bool JobTable::end(const RunEnded &record)
+{
+    Task *const task = findTask(record.run.task);
+    if (task == nullptr || std::erase_if(task->runs, [&record](const PlacedRun &run) {
+            return run.number == record.run.number;
+        }) == 0) {
+        return false;
+    }
+    if (!record.checkpoint.value().empty()) {
+        task->checkpoint = record.checkpoint;
+    }
+    Job &job = m_jobs.at(record.run.task.step.job);
+    const bool isLasting = job.spec->steps.at(record.run.task.step.step).isLasting;
+    if (record.end == RunEnd::Failed) {
+        ++task->failures;
+    }
+    if (record.end == RunEnd::Done && !isLasting && !task->isDone) {
+        job.markDone(record.run.task);
+    }
+    slimDown(job);
+    return true;
+}
+
+bool JobTable::close(const JobClosed &record)
+{
+    const auto found = m_jobs.find(record.job);
+    if (found == m_jobs.end() || found->second.isClosed()) {
+        return false;
+    }
+    found->second.closedAs = record.as;
+    found->second.closedAt = record.at;
+    slimDown(found->second);
+    return true;
+}
+
+const Job *JobTable::find(const JobId &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const std::map<JobId, Job> &JobTable::jobs() const
+{
+    return m_jobs;
+}
+
+void JobTable::beginOccurrence(const JobId &id)
+{
+    m_jobs.at(id).beginOccurrence();
+}
+
+void JobTable::noteCheckpoint(const TaskRef &task, const CheckpointId &checkpoint)
+{
+    if (Task *const known = findTask(task)) {
+        known->checkpoint = checkpoint;
+    }
+}
+
+void JobTable::forget(const JobId &id)
+{
+    m_jobs.erase(id);
+}
+
+Task *JobTable::findTask(const TaskRef &ref)
+{
+    const auto found = m_jobs.find(ref.step.job);
+    return found == m_jobs.end() ? nullptr : found->second.task(ref);
+}
+
+/** Drops what nobody asks of a closed job once its last run is over. */
+void JobTable::slimDown(Job &job)
+{
+    if (job.isClosed() && !job.spec->steps.empty() && job.liveRuns().empty()) {
+        JobSpec rest;
+        rest.id = job.spec->id;
+        rest.queue = job.spec->queue;
+        job.spec = std::make_shared<const JobSpec>(std::move(rest));
+        job.occurrences.clear();
+    }
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/jobwriter.cpp
@@ -0,0 +1,199 @@
+#include "jobwriter.h"
+
+#include "jobevents.h"
+
+#include <utility>
+
+namespace currantring {
+
+namespace {
+
+/** An idle writer asks the store in these intervals whether it still is the writer. */
+constexpr Milliseconds confirmInterval { 1000 };
+
+void answerAccepted(std::map<JobId, std::vector<JobWriter::Answer>> &waiting, const JobId &job)
+{
+    const std::vector<JobWriter::Answer> answers = std::move(waiting.at(job));
+    waiting.erase(job);
+    for (const JobWriter::Answer &answer : answers) {
+        answer({ CallOutcome::Accepted, {}, 0, {} });
+    }
+}
+
+} // namespace
+
+JobWriter::JobWriter(StoreLayout layout, RunDirector::Options options, std::uint64_t nonce, SiteFormats formats,
+                     JobContext &context, Handlers handlers)
+    : m_context(context)
+    , m_handlers(std::move(handlers))
+    , m_options(options)
+    , m_formats(std::move(formats))
+    , m_log(layout, options.token, nonce, context, JobLogLimits {}, [this] { lose(); })
+{
+}
+
+void JobWriter::begin()
+{
+    m_log.load(m_lifetime.guard([this] { activate(); }));
+}
+
+void JobWriter::activate()
+{
+    m_context.log(LogLevel::Info, events::shardActive,
+                  { { "token", std::to_string(m_options.token.value()) },
+                    { "jobs", std::to_string(m_log.table().jobs().size()) } });
+    m_director = std::make_unique<RunDirector>(
+        m_options, std::move(m_formats), m_log, m_context,
+        RunDirector::Handlers { m_handlers.configuration, [this] {
+                                   // A worker's word isn't proof; the store's is.
+                                   m_log.checkWriter([](WriterCheck /*check*/) {});
+                               } });
+    m_director->begin();
+    for (const auto &[call, then] : std::exchange(m_waiting, {})) {
+        handle(call, then);
+    }
+    keepConfirmed();
+}
+
+void JobWriter::keepConfirmed()
+{
+    m_context.schedule(confirmInterval, m_lifetime.guard([this] {
+        if (m_context.now() - m_log.lastConfirmed() >= confirmInterval) {
+            m_log.checkWriter([](WriterCheck /*check*/) {});
+        }
+        keepConfirmed();
+    }));
+}
+
+void JobWriter::handle(const CallerCall &call, Answer then)
+{
+    if (!m_director) {
+        m_waiting.emplace_back(call, std::move(then));
+        return;
+    }
+    if (m_isLost || m_isFinishing) {
+        return;
+    }
+    if (const auto *submitted = std::get_if<SubmitJob>(&call)) {
+        submit(*submitted, std::move(then));
+    } else if (const auto *asked = std::get_if<ReadJob>(&call)) {
+        read(*asked, then);
+    } else if (const auto *cancelled = std::get_if<CancelJob>(&call)) {
+        cancel(*cancelled, std::move(then));
+    } else {
+        count(std::get<CountWaiting>(call), then);
+    }
+}
+
+void JobWriter::submit(const SubmitJob &call, Answer then)
+{
+    const JobId &id = call.spec->id;
+    if (m_log.table().find(id) != nullptr) {
+        if (const auto accepting = m_accepting.find(id); accepting != m_accepting.end()) {
+            accepting->second.push_back(std::move(then));
+        } else {
+            then({ CallOutcome::Accepted, {}, 0, {} });
+        }
+        return;
+    }
+    m_accepting[id].push_back(std::move(then));
+    const TimePoint begun = m_context.now();
+    m_log.append(JobAccepted { call.spec, m_context.wallNow() }, RecordUrgency::Urgent,
+                 m_lifetime.guard([this, id, begun, queue = call.spec->queue] {
+                     m_context.log(LogLevel::Info, events::jobAccepted,
+                                   { { "job", id.value() },
+                                     { "queue", queue.value() },
+                                     { "token", std::to_string(m_options.token.value()) } });
+                     m_context.observe("accept_ms", queue, "submit", m_context.now() - begun);
+                     answerAccepted(m_accepting, id);
+                 }));
+    m_director->openJob(id);
+}
+
+void JobWriter::read(const ReadJob &call, const Answer &then)
+{
+    const Job *const job = m_log.table().find(call.job);
+    if (job == nullptr) {
+        answerUnknown(then);
+        return;
+    }
+    const bool isClosing = m_director->isClosing(call.job) || m_cancelling.contains(call.job);
+    then({ CallOutcome::Found, isClosing ? JobPhase::Running : job->phase(), 0, {} });
+}
+
+void JobWriter::cancel(const CancelJob &call, Answer then)
+{
+    const Job *const job = m_log.table().find(call.job);
+    if (job == nullptr) {
+        answerUnknown(then);
+        return;
+    }
+    if (const auto cancelling = m_cancelling.find(call.job); cancelling != m_cancelling.end()) {
+        cancelling->second.push_back(std::move(then));
+        return;
+    }
+    if (job->isClosed()) {
+        then({ CallOutcome::Accepted, {}, 0, {} });
+        return;
+    }
+    m_cancelling[call.job].push_back(std::move(then));
+    m_log.append(JobClosed { call.job, JobPhase::Cancelled, m_context.wallNow() }, RecordUrgency::Urgent,
+                 m_lifetime.guard([this, id = call.job] {
+                     m_context.log(LogLevel::Info, events::jobClosed,
+                                   { { "job", id.value() }, { "phase", "cancelled" } });
+                     answerAccepted(m_cancelling, id);
+                 }));
+    m_director->closeJob(call.job);
+}
+
+void JobWriter::count(const CountWaiting &call, const Answer &then)
+{
+    std::uint64_t waiting = 0;
+    for (const auto &[id, job] : m_log.table().jobs()) {
+        if (job.spec->queue == call.queue && !job.isClosed() && !job.wasStarted) {
+            ++waiting;
+        }
+    }
+    then({ CallOutcome::Found, {}, waiting, {} });
+}
+
+void JobWriter::answerUnknown(const Answer &then)
+{
+    m_log.checkWriter(m_lifetime.guard([then](WriterCheck check) {
+        if (check == WriterCheck::StillWriter) {
+            then({ CallOutcome::Unknown, {}, 0, {} });
+        }
+        // Otherwise the caller's host asks the next writer, or gives up in time.
+    }));
+}
+
+void JobWriter::reconsider()
+{
+    if (m_director) {
+        m_director->reconsider();
+    }
+}
+
+void JobWriter::finish(std::function<void()> then)
+{
+    m_isFinishing = true;
+    m_log.flush(std::move(then));
+}
+
+void JobWriter::lose()
+{
+    m_isLost = true;
+    m_handlers.onLost();
+}
+
+bool JobWriter::isActive() const
+{
+    return m_director != nullptr && !m_isLost;
+}
+
+Milliseconds JobWriter::commitAge() const
+{
+    return m_log.commitAge();
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/prefixwatch.cpp
@@ -0,0 +1,167 @@
+#include "prefixwatch.h"
+
+#include "jobevents.h"
+
+#include <algorithm>
+
+namespace currantring {
+
+namespace {
+
+constexpr Milliseconds builtInWait { 5000 };
+/** Beyond the time that the store may wait by itself. */
+constexpr Milliseconds answerMargin { 1000 };
+constexpr Milliseconds listTimeout { 1500 };
+constexpr Milliseconds firstBackoff { 50 };
+constexpr Milliseconds longestBackoff { 800 };
+
+} // namespace
+
+PrefixWatch::PrefixWatch(std::string prefix, JobContext &context, Handlers handlers)
+    : m_prefix(std::move(prefix))
+    , m_context(context)
+    , m_handlers(std::move(handlers))
+    , m_wait(builtInWait)
+{
+}
+
+void PrefixWatch::start()
+{
+    refresh();
+}
+
+void PrefixWatch::setWait(Milliseconds wait)
+{
+    m_wait = wait;
+}
+
+void PrefixWatch::refresh()
+{
+    ++m_round;
+    m_listed.clear();
+    list({});
+}
+
+std::optional<TimePoint> PrefixWatch::lastAnswer() const
+{
+    return m_lastAnswer;
+}
+
+bool PrefixWatch::isSynced() const
+{
+    return m_isSynced;
+}
+
+void PrefixWatch::list(const std::string &after)
+{
+    m_context.callStore(KvList { m_prefix, after, false }, listTimeout,
+                        m_lifetime.guard([this, round = m_round](const KvResult &result) {
+                            if (round == m_round) {
+                                handleList(result);
+                            }
+                        }));
+}
+
+void PrefixWatch::handleList(const KvResult &result)
+{
+    if (!result) {
+        m_listed.clear();
+        retry([this] { list({}); });
+        return;
+    }
+    m_backoff = {};
+    m_lastAnswer = m_context.now();
+    if (m_listed.empty()) {
+        // Later pages may be newer; what changed since the first one is watched for.
+        m_revision = result->revision;
+    }
+    for (const KvEntry &entry : result->entries) {
+        m_listed[entry.key] = entry.revision;
+        take(entry);
+    }
+    if (result->hasMore && !result->entries.empty()) {
+        list(result->entries.back().key);
+    } else {
+        finishList();
+    }
+}
+
+void PrefixWatch::finishList()
+{
+    std::vector<std::string> gone;
+    for (const auto &[key, revision] : m_known) {
+        if (!m_listed.contains(key) && revision <= m_revision) {
+            gone.push_back(key);
+        }
+    }
+    for (const std::string &key : gone) {
+        take({ key, {}, m_revision, true });
+    }
+    m_listed.clear();
+    m_isSynced = true;
+    m_handlers.onSynced();
+    watch();
+}
+
+void PrefixWatch::watch()
+{
+    m_context.callStore(KvWatch { m_prefix, m_revision, m_wait }, m_wait + answerMargin,
+                        m_lifetime.guard([this, round = m_round](const KvResult &result) {
+                            if (round == m_round) {
+                                handleWatch(result);
+                            }
+                        }));
+}
+
+void PrefixWatch::handleWatch(const KvResult &result)
+{
+    if (!result) {
+        if (result.error().kind == KvErrorKind::HistoryGone) {
+            m_context.log(LogLevel::Info, events::watchHistoryGone,
+                          { { "prefix", m_prefix }, { "revision", std::to_string(m_revision.value()) } });
+            refresh();
+            return;
+        }
+        retry([this] { watch(); });
+        return;
+    }
+    m_backoff = {};
+    m_lastAnswer = m_context.now();
+    m_revision = std::max(m_revision, result->revision);
+    for (const KvEntry &entry : result->entries) {
+        take(entry);
+    }
+    watch();
+}
+
+void PrefixWatch::retry(std::function<void()> what)
+{
+    m_backoff = std::clamp(m_backoff * 2, firstBackoff, longestBackoff);
+    m_context.schedule(m_backoff, m_lifetime.guard([this, round = m_round, what = std::move(what)] {
+        if (round == m_round) {
+            what();
+        }
+    }));
+}
+
+void PrefixWatch::take(const KvEntry &entry)
+{
+    const auto known = m_known.find(entry.key);
+    if (known != m_known.end() && entry.revision < known->second) {
+        return;
+    }
+    const bool isRepeat = known != m_known.end() && entry.revision == known->second && !entry.isDeleted;
+    if (entry.isDeleted) {
+        if (known == m_known.end()) {
+            return;
+        }
+        m_known.erase(known);
+    } else {
+        m_known[entry.key] = entry.revision;
+    }
+    if (!isRepeat) {
+        m_handlers.onChange(entry);
+    }
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/workerfleet.cpp
@@ -0,0 +1,120 @@
+#include "workerfleet.h"
+
+#include "jobevents.h"
+
+#include <utility>
+
+namespace currantring {
+
+namespace {
+
+/** A worker may be missing from the list for so long, after an outage of the store, before it counts as gone. */
+constexpr Milliseconds unlistedGrace { 2000 };
+constexpr Milliseconds sweepInterval { 1000 };
+constexpr Milliseconds watchWait { 5000 };
+
+} // namespace
+
+WorkerFleet::WorkerFleet(WriterToken token, WorkerTiming timing, TimePoint inheritedUntil, SiteFormats formats,
+                         JobContext &context, Handlers handlers)
+    : m_token(token)
+    , m_timing(timing)
+    , m_inheritedUntil(inheritedUntil)
+    , m_formats(std::move(formats))
+    , m_context(context)
+    , m_handlers(std::move(handlers))
+    , m_watch(m_formats.workerPrefix, context,
+              { [this](const KvEntry &entry) { take(entry); }, [this] {
+                   m_handlers.onListed();
+               } })
+{
+    m_watch.setWait(watchWait);
+}
+
+void WorkerFleet::start()
+{
+    m_watch.start();
+    sweep();
+}
+
+WorkerLink &WorkerFleet::add(WorkerEntry entry)
+{
+    const WorkerId id = entry.id;
+    auto link = std::make_unique<WorkerLink>(std::move(entry), m_token, m_timing, m_inheritedUntil, m_context,
+                                             m_handlers.linkHandlers(id));
+    return *(m_links[id] = std::move(link));
+}
+
+WorkerLink &WorkerFleet::expect(const WorkerId &worker, WorkerLife life)
+{
+    if (WorkerLink *const known = find(worker)) {
+        return *known;
+    }
+    WorkerEntry entry;
+    entry.id = worker;
+    entry.life = life;
+    WorkerLink &link = add(std::move(entry));
+    link.setListed(false);
+    link.begin();
+    return link;
+}
+
+WorkerLink *WorkerFleet::find(const WorkerId &worker)
+{
+    const auto found = m_links.find(worker);
+    return found == m_links.end() ? nullptr : found->second.get();
+}
+
+const std::map<WorkerId, std::unique_ptr<WorkerLink>> &WorkerFleet::links() const
+{
+    return m_links;
+}
+
+bool WorkerFleet::isListed() const
+{
+    return m_watch.isSynced();
+}
+
+bool WorkerFleet::takesWork(const WorkerLink &link) const
+{
+    const bool isNamed = link.isListed() || m_context.now() - link.unlistedSince() < unlistedGrace;
+    return isNamed && link.isReachable() && !link.holdsUnknown() && link.entry().standing == WorkerStanding::Ready;
+}
+
+void WorkerFleet::take(const KvEntry &entry)
+{
+    if (entry.isDeleted) {
+        const WorkerId id(entry.key.substr(m_formats.workerPrefix.size()));
+        if (WorkerLink *const link = find(id)) {
+            m_context.log(LogLevel::Info, events::workerUnlisted, { { "worker", id.value() } });
+            link->setListed(false);
+            m_handlers.onChanged(*link);
+        }
+        return;
+    }
+    std::optional<WorkerEntry> decoded = m_formats.decodeWorker(entry);
+    if (!decoded) {
+        return;
+    }
+    if (WorkerLink *const link = find(decoded->id)) {
+        link->setEntry(std::move(*decoded));
+        m_handlers.onChanged(*link);
+        return;
+    }
+    WorkerLink &link = add(std::move(*decoded));
+    link.begin();
+    m_handlers.onAdded(link);
+}
+
+/** Drops the links of workers that are gone and where nothing can run any more. */
+void WorkerFleet::sweep()
+{
+    std::erase_if(m_links, [this](const auto &entry) {
+        const WorkerLink &link = *entry.second;
+        return !link.isListed() && !link.isReachable() && link.runs().empty()
+            && m_context.now() - link.unlistedSince() > unlistedGrace;
+    });
+    m_context.schedule(sweepInterval, m_lifetime.guard([this] { sweep(); }));
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/workerlink.cpp
@@ -0,0 +1,546 @@
+#include "workerlink.h"
+
+#include "jobevents.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantring {
+
+namespace {
+
+/** Beyond the wait that the worker was allowed. */
+constexpr Milliseconds lookMargin { 600 };
+constexpr Milliseconds orderTimeout { 400 };
+/** A start is refused by the worker after this time. */
+constexpr Milliseconds startWindow { 1500 };
+constexpr Milliseconds stopRetryDelay { 200 };
+constexpr Milliseconds lookRetryDelay { 250 };
+/** While ends wait to be recorded, the lease is renewed in these intervals. */
+constexpr Milliseconds renewalInterval { 700 };
+/** A worker's clock may be slow by this share; times on it pass later by so much. */
+constexpr double clockSlowness = 0.02;
+constexpr Milliseconds leaseMargin { 50 };
+
+Milliseconds onSlowClock(Milliseconds duration)
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) / (1 - clockSlowness)));
+}
+
+} // namespace
+
+WorkerLink::WorkerLink(WorkerEntry entry, WriterToken token, WorkerTiming timing, TimePoint inheritedUntil,
+                       JobContext &context, Handlers handlers)
+    : m_entry(std::move(entry))
+    , m_token(token)
+    , m_timing(timing)
+    , m_inheritedUntil(inheritedUntil)
+    , m_context(context)
+    , m_handlers(std::move(handlers))
+    , m_life(m_entry.life)
+{
+}
+
+void WorkerLink::begin()
+{
+    look(Milliseconds(0));
+}
+
+void WorkerLink::setEntry(WorkerEntry entry)
+{
+    m_entry = std::move(entry);
+    setListed(true);
+}
+
+void WorkerLink::setListed(bool isListed)
+{
+    if (m_isListed && !isListed) {
+        m_unlistedSince = m_context.now();
+    }
+    m_isListed = isListed;
+}
+
+void WorkerLink::hold(const LiveRun &run, int sign)
+{
+    if (!run.step) {
+        m_unknownRuns += static_cast<std::uint32_t>(sign);
+        return;
+    }
+    Resources need = run.step->need;
+    if (run.step->isFiller) {
+        m_fillerDemand = Millicores(m_fillerDemand.value() + sign * need.processors.value());
+        need.processors = Millicores(0);
+    }
+    if (sign > 0) {
+        m_held += need;
+    } else {
+        m_held -= need;
+    }
+}
+
+LiveRun WorkerLink::take(std::map<RunRef, LiveRun>::iterator place)
+{
+    LiveRun run = std::move(place->second);
+    m_runs.erase(place);
+    hold(run, -1);
+    return run;
+}
+
+void WorkerLink::inherit(LiveRun run, WorkerLife life)
+{
+    run.phase = RunPhase::Inherited;
+    run.placedAt = m_context.now();
+    // A run of an earlier life is found absent by the first look, as one that never began is.
+    static_cast<void>(life);
+    hold(run, 1);
+    m_runs.emplace(run.ref, std::move(run));
+}
+
+void WorkerLink::reserve(LiveRun run)
+{
+    run.phase = RunPhase::Committing;
+    run.placedAt = m_context.now();
+    run.progressAt = m_context.now();
+    hold(run, 1);
+    m_runs.emplace(run.ref, std::move(run));
+}
+
+void WorkerLink::release(const RunRef &run)
+{
+    if (const auto place = m_runs.find(run); place != m_runs.end()) {
+        take(place);
+    }
+}
+
+void WorkerLink::start(const RunRef &run, std::string payload, const CheckpointId &resumeFrom, std::string ticket)
+{
+    const auto place = m_runs.find(run);
+    if (place == m_runs.end() || place->second.phase != RunPhase::Committing) {
+        return;
+    }
+    LiveRun &live = place->second;
+    live.phase = RunPhase::Starting;
+    live.startBy = WorkerTime(clockNow().value() + startWindow.count());
+    m_leaseUntil = std::max(m_leaseUntil.value_or(live.startBy), live.startBy);
+    order(StartOrder { m_token, run, std::move(payload), resumeFrom, live.startBy, std::move(ticket) },
+          m_lifetime.guard([this, run](const WorkerResult &result) { handleStart(run, result); }));
+}
+
+void WorkerLink::handleStart(const RunRef &run, const WorkerResult &result)
+{
+    if (result) {
+        noteClock(result->clock);
+    }
+    const auto place = m_runs.find(run);
+    if (place == m_runs.end()) {
+        return;
+    }
+    LiveRun &live = place->second;
+    if (result) {
+        live.settledAt = m_context.now();
+        if (live.phase == RunPhase::Starting) {
+            live.phase = RunPhase::Running;
+            live.progressAt = m_context.now();
+            m_handlers.onStarted(live);
+        }
+        return;
+    }
+    const WorkerFailure failure = result.error().failure;
+    if (failure == WorkerFailure::Unknown) {
+        if (live.phase == RunPhase::Starting) {
+            live.phase = RunPhase::Unsettled;
+            sendStop(run);
+        }
+        return;
+    }
+    if (failure == WorkerFailure::Fenced) {
+        m_handlers.onFenced();
+        return;
+    }
+    m_handlers.onRefused(take(place), failure);
+}
+
+void WorkerLink::stop(const RunRef &run)
+{
+    const auto place = m_runs.find(run);
+    if (place == m_runs.end() || place->second.phase == RunPhase::Stopping) {
+        return;
+    }
+    const bool isSent = place->second.phase == RunPhase::Unsettled;
+    place->second.phase = RunPhase::Stopping;
+    if (!isSent) {
+        sendStop(run);
+    }
+}
+
+void WorkerLink::sendStop(const RunRef &run)
+{
+    order(StopOrder { m_token, run }, m_lifetime.guard([this, run](const WorkerResult &result) {
+        handleStop(run, result);
+    }));
+}
+
+void WorkerLink::handleStop(const RunRef &run, const WorkerResult &result)
+{
+    const auto place = m_runs.find(run);
+    if (place == m_runs.end()) {
+        return;
+    }
+    if (result) {
+        noteClock(result->clock);
+        // Whatever was under way, it won't start any more.
+        place->second.settledAt = m_context.now();
+        place->second.phase = RunPhase::Stopping;
+        return;
+    }
+    if (result.error().failure == WorkerFailure::Fenced) {
+        m_handlers.onFenced();
+        return;
+    }
+    m_context.schedule(stopRetryDelay, m_lifetime.guard([this, run] {
+        if (m_runs.contains(run)) {
+            sendStop(run);
+        }
+    }));
+}
+
+void WorkerLink::pace(const RunRef &run, std::uint32_t percent)
+{
+    const auto place = m_runs.find(run);
+    if (place == m_runs.end() || place->second.phase != RunPhase::Running) {
+        return;
+    }
+    place->second.pace = percent;
+    order(PaceOrder { m_token, run, percent },
+          m_lifetime.guard([this, run, percent](const WorkerResult &result) {
+              const auto known = m_runs.find(run);
+              if (result || known == m_runs.end() || known->second.pace != percent) {
+                  return;
+              }
+              // The next decision orders it again.
+              known->second.pace = percent == 100 ? 0 : 100;
+          }));
+}
+
+void WorkerLink::order(WorkerOrder order, JobDriver::WorkerHandler then)
+{
+    m_context.callWorker(m_entry.id, m_entry.address, std::move(order), orderTimeout, std::move(then));
+}
+
+Milliseconds WorkerLink::lookWait() const
+{
+    const bool isServing =
+        std::ranges::any_of(m_runs, [](const auto &entry) { return entry.second.isServing(); });
+    return isServing ? m_timing.servingLookWait : m_timing.lookWait;
+}
+
+void WorkerLink::look(Milliseconds wait)
+{
+    if (m_lookTimer) {
+        m_context.cancel(*m_lookTimer);
+        m_lookTimer.reset();
+    }
+    LookOrder look;
+    look.token = m_token;
+    look.wait = wait;
+    if (m_channel) {
+        look.onlyOver = m_channel;
+        look.acknowledged = m_acknowledged;
+    }
+    if (m_clock && m_handlers.mayExtendLease()) {
+        look.leaseUntil = WorkerTime(clockNow().value() + m_timing.lease.count());
+        m_leaseUntil = std::max(m_leaseUntil.value_or(*look.leaseUntil), *look.leaseUntil);
+    }
+    ++m_round;
+    m_context.callWorker(m_entry.id, m_entry.address, std::move(look), wait + lookMargin,
+                         m_lifetime.guard([this, round = m_round, sentAt = m_context.now()](const WorkerResult &result) {
+                             if (round == m_round) {
+                                 handleLook(sentAt, result);
+                             }
+                         }));
+}
+
+void WorkerLink::handleLook(TimePoint sentAt, const WorkerResult &result)
+{
+    if (result) {
+        takeAnswer(sentAt, *result);
+    } else {
+        failLook(result.error().failure);
+    }
+}
+
+void WorkerLink::takeAnswer(TimePoint sentAt, const WorkerAnswer &answer)
+{
+    const bool isFirst = !m_lastAnswer;
+    m_failedLooks = 0;
+    m_lastAnswer = m_context.now();
+    if (answer.life && *answer.life != m_life) {
+        m_context.log(LogLevel::Info, events::workerNewLife,
+                      { { "worker", m_entry.id.value() }, { "life", std::to_string(answer.life->value()) } });
+        m_life = *answer.life;
+        m_leaseUntil.reset();
+    }
+    if (!m_leaseUntil) {
+        // What an earlier writer may have granted, or an order that reached this life.
+        m_leaseUntil = WorkerTime(answer.clock.value() + m_timing.longestLease.count());
+    }
+    if (m_channel != answer.channel) {
+        m_channel = answer.channel;
+        m_acknowledged = EndNumber(0);
+        m_told = EndNumber(0);
+    }
+    noteClock(answer.clock);
+    const EndNumber before = m_told;
+    takeRunning(answer);
+    takeEnded(answer);
+    dropAbsent(sentAt, answer);
+    setReachable(true, "answers");
+    m_handlers.onLooked();
+    if (isFirst || m_told == before) {
+        // The first look had no clock to set a lease by.
+        look(isFirst ? Milliseconds(0) : lookWait());
+    } else {
+        continueLooking();
+    }
+}
+
+void WorkerLink::continueLooking()
+{
+    m_lookTimer = m_context.schedule(renewalInterval, m_lifetime.guard([this] {
+        m_lookTimer.reset();
+        look(Milliseconds(0));
+    }));
+}
+
+void WorkerLink::acknowledge(const EndMark &mark)
+{
+    if (m_channel != mark.channel || mark.number <= m_acknowledged) {
+        return;
+    }
+    m_acknowledged = mark.number;
+    if (m_lookTimer && m_acknowledged == m_told) {
+        look(lookWait());
+    }
+}
+
+EndMark WorkerLink::endMark() const
+{
+    return { m_channel.value_or(WorkerChannel(0)), m_told };
+}
+
+void WorkerLink::takeRunning(const WorkerAnswer &answer)
+{
+    for (const RunningRow &row : answer.running) {
+        const auto place = m_runs.find(row.run);
+        if (place == m_runs.end()) {
+            takeStray(row);
+            continue;
+        }
+        LiveRun &run = place->second;
+        if (row.percent > run.percent || !run.wasReported) {
+            run.progressAt = m_context.now();
+        }
+        run.percent = row.percent;
+        run.gauge = row.gauge;
+        run.checkpoint = row.checkpoint;
+        run.wasReported = true;
+        if (run.phase == RunPhase::Inherited || run.phase == RunPhase::Starting) {
+            run.settledAt = m_context.now();
+            run.phase = RunPhase::Running;
+            m_handlers.onStarted(run);
+        }
+    }
+}
+
+void WorkerLink::takeStray(const RunningRow &row)
+{
+    m_context.log(LogLevel::Info, events::strayRun,
+                  { { "worker", m_entry.id.value() },
+                    { "task", describe(row.run.task) },
+                    { "run", std::to_string(row.run.number.value()) } });
+    LiveRun run;
+    run.ref = row.run;
+    run.step = m_handlers.describeRun(row.run.task);
+    run.phase = RunPhase::Stopping;
+    run.settledAt = m_context.now();
+    hold(run, 1);
+    m_runs.emplace(run.ref, std::move(run));
+    sendStop(row.run);
+}
+
+void WorkerLink::takeEnded(const WorkerAnswer &answer)
+{
+    for (const EndedRow &row : answer.ended) {
+        if (row.number <= m_told) {
+            continue;
+        }
+        m_told = row.number;
+        if (const auto place = m_runs.find(row.run); place != m_runs.end()) {
+            m_handlers.onEnded(take(place), row.end, row.checkpoint);
+        }
+    }
+}
+
+void WorkerLink::dropAbsent(TimePoint sentAt, const WorkerAnswer &answer)
+{
+    std::vector<RunRef> absent;
+    for (const auto &[ref, run] : m_runs) {
+        const bool isListed = std::ranges::find(answer.running, ref, &RunningRow::run) != answer.running.end();
+        if (!isListed && isSurelyAbsent(run, sentAt, answer)) {
+            absent.push_back(ref);
+        }
+    }
+    for (const RunRef &ref : absent) {
+        lose(ref, "not-listed");
+    }
+}
+
+bool WorkerLink::isSurelyAbsent(const LiveRun &run, TimePoint sentAt, const WorkerAnswer &answer) const
+{
+    switch (run.phase) {
+    case RunPhase::Committing:
+        return false;
+    case RunPhase::Inherited:
+        // Orders of the former writer are refused from this look on.
+        return true;
+    case RunPhase::Starting:
+    case RunPhase::Unsettled:
+        return answer.clock > run.startBy && run.phase == RunPhase::Unsettled;
+    case RunPhase::Running:
+    case RunPhase::Stopping:
+        return run.settledAt && *run.settledAt < sentAt;
+    }
+    return false;
+}
+
+void WorkerLink::lose(const RunRef &run, std::string_view reason)
+{
+    if (const auto place = m_runs.find(run); place != m_runs.end()) {
+        m_handlers.onLost(take(place), reason);
+    }
+}
+
+void WorkerLink::failLook(WorkerFailure failure)
+{
+    if (failure == WorkerFailure::Fenced) {
+        m_handlers.onFenced();
+        return;
+    }
+    // Another connection may reach another life of the worker, whose ends are numbered anew.
+    m_channel.reset();
+    ++m_failedLooks;
+    if (m_failedLooks > 1) {
+        setReachable(false, workerFailureName(failure));
+    }
+    const Milliseconds delay = m_failedLooks > 1 ? lookRetryDelay : Milliseconds(0);
+    m_lookTimer = m_context.schedule(delay, m_lifetime.guard([this] {
+        m_lookTimer.reset();
+        look(Milliseconds(0));
+    }));
+    checkLease();
+}
+
+void WorkerLink::checkLease()
+{
+    if (m_isReachable || m_runs.empty()) {
+        return;
+    }
+    const TimePoint over = leaseOverAt();
+    if (m_context.now() < over) {
+        return;
+    }
+    std::vector<RunRef> lost;
+    for (const auto &[ref, run] : m_runs) {
+        if (run.phase != RunPhase::Committing && run.phase != RunPhase::Starting) {
+            lost.push_back(ref);
+        }
+    }
+    for (const RunRef &ref : lost) {
+        lose(ref, "lease-over");
+    }
+}
+
+TimePoint WorkerLink::leaseOverAt() const
+{
+    TimePoint over = m_lastAnswer ? TimePoint {} : m_inheritedUntil;
+    if (m_clock && m_leaseUntil) {
+        const Milliseconds left(m_leaseUntil->value() - m_clock->clock.value());
+        over = std::max(over, m_clock->at + onSlowClock(std::max(left, Milliseconds(0))));
+    }
+    return over + leaseMargin;
+}
+
+void WorkerLink::noteClock(WorkerTime clock)
+{
+    m_clock = ClockSample { clock, m_context.now() };
+}
+
+WorkerTime WorkerLink::clockNow() const
+{
+    return m_clock ? WorkerTime(m_clock->clock.value() + (m_context.now() - m_clock->at).count()) : WorkerTime(0);
+}
+
+void WorkerLink::setReachable(bool isReachable, std::string_view reason)
+{
+    if (isReachable == m_isReachable) {
+        return;
+    }
+    m_isReachable = isReachable;
+    m_context.log(LogLevel::Info, isReachable ? events::workerReachable : events::workerSilent,
+                  { { "worker", m_entry.id.value() },
+                    { "reason", std::string(reason) },
+                    { "runs", std::to_string(m_runs.size()) } });
+    m_handlers.onReachability();
+}
+
+const WorkerEntry &WorkerLink::entry() const
+{
+    return m_entry;
+}
+
+WorkerLife WorkerLink::life() const
+{
+    return m_life;
+}
+
+const std::map<RunRef, LiveRun> &WorkerLink::runs() const
+{
+    return m_runs;
+}
+
+bool WorkerLink::isReachable() const
+{
+    return m_isReachable;
+}
+
+bool WorkerLink::isListed() const
+{
+    return m_isListed;
+}
+
+TimePoint WorkerLink::unlistedSince() const
+{
+    return m_unlistedSince;
+}
+
+std::optional<TimePoint> WorkerLink::lastAnswer() const
+{
+    return m_lastAnswer;
+}
+
+Resources WorkerLink::held() const
+{
+    return m_held;
+}
+
+Millicores WorkerLink::fillerDemand() const
+{
+    return m_fillerDemand;
+}
+
+bool WorkerLink::holdsUnknown() const
+{
+    return m_unknownRuns > 0;
+}
+
+} // namespace currantring
--- a/src/libpeer/eventloop.cpp
+++ b/src/libnet/eventloop.cpp
@@ -45,6 +45,12 @@
         handleSockets();
         runPosted();
         runTimers();
+        do {
+            runDeferred();
+            if (m_roundEndHandler) {
+                m_roundEndHandler();
+            }
+        } while (!m_deferred.empty());
     }
 }
 
@@ -63,6 +69,21 @@
     }
 }
 
+void EventLoop::defer(Task task)
+{
+    m_deferred.push_back(std::move(task));
+}
+
+void EventLoop::onWake(Task handler)
+{
+    m_wakeHandler = std::move(handler);
+}
+
+void EventLoop::onRoundEnd(Task handler)
+{
+    m_roundEndHandler = std::move(handler);
+}
+
 void EventLoop::watch(int socket, std::uint32_t events, SocketHandler handler)
 {
     const std::uint64_t key = ++m_lastKey & 0xffffffffU;
@@ -108,6 +129,9 @@
 {
     std::array<epoll_event, eventsAtOnce> events {};
     const int count = ::epoll_wait(m_epoll.get(), events.data(), static_cast<int>(events.size()), waitTime());
+    if (m_wakeHandler) {
+        m_wakeHandler();
+    }
     for (int index = 0; index < count; ++index) {
         const epoll_event &event = events.at(static_cast<std::size_t>(index));
         const auto found = m_watches.find(static_cast<int>(event.data.u64 & 0xffffffffU));
@@ -131,6 +155,17 @@
     }
 }
 
+void EventLoop::runDeferred()
+{
+    while (!m_deferred.empty()) {
+        std::vector<Task> tasks;
+        tasks.swap(m_deferred);
+        for (const Task &task : tasks) {
+            task();
+        }
+    }
+}
+
 void EventLoop::runTimers()
 {
     const Clock::time_point now = Clock::now();
--- a/src/libpeer/eventloop.h
+++ b/src/libnet/eventloop.h
@@ -17,6 +17,7 @@
  * Waits for sockets, timers and posted work on one thread.
  *
  * Thread safety: post() and quit() from any thread, all else from the thread that calls run(), or before run().
+ * A round is one wait and the work that it brought.
  */
 class EventLoop
 {
@@ -36,6 +37,12 @@
     void quit();
     /** Runs @p task on the loop's thread; work posted before run() waits for it. */
     void post(Task task);
+    /** Runs @p task at the end of the present round, without a wake-up. */
+    void defer(Task task);
+    /** Runs @p handler in each round when the wait is over, before all else. */
+    void onWake(Task handler);
+    /** Runs @p handler at the end of each round, before the next wait, and again when it deferred work. */
+    void onRoundEnd(Task handler);
 
     /** Calls @p handler when @p socket is ready for one of @p events; level-triggered. */
     void watch(int socket, std::uint32_t events, SocketHandler handler);
@@ -59,12 +66,16 @@
     void handleSockets();
     void runPosted();
     void runTimers();
+    void runDeferred();
 
     FileDescriptor m_epoll;
     FileDescriptor m_wake;
     std::uint64_t m_lastKey = 0;
     std::map<int, Watch> m_watches;
     std::map<TimerKey, Task> m_timers;
+    std::vector<Task> m_deferred;
+    Task m_wakeHandler;
+    Task m_roundEndHandler;
     bool m_quit = false;
 
     std::mutex m_mutex;
--- a/src/libpeer/peertransport.cpp
+++ b/src/libpeer/peertransport.cpp
@@ -15,9 +15,11 @@
 
 struct PeerTransport::Private
 {
-    Private(PeerTransportOptions givenOptions, PeerTransportHandlers givenHandlers)
+    Private(PeerTransportOptions givenOptions, PeerTransportHandlers givenHandlers, EventLoop *givenLoop)
         : options(std::move(givenOptions))
         , handlers(std::move(givenHandlers))
+        , ownLoop(givenLoop == nullptr ? std::make_unique<EventLoop>() : nullptr)
+        , loop(givenLoop == nullptr ? *ownLoop : *givenLoop)
         , outbox(options.queueMessages, options.queueBytes)
         , random(options.seed + stableHash(options.self.value()))
         , context { loop, counters, options }
@@ -27,11 +29,14 @@
     tl::expected<FileDescriptor, PeerTransportError> openListener() const;
     void setLink(const HostId &peer, const Address &address);
     void drainAll();
+    void run(EventLoop::Task task);
 
     PeerTransportOptions options;
     PeerTransportHandlers handlers;
     PeerCounters counters;
-    EventLoop loop;
+    /** Null on a given loop. */
+    std::unique_ptr<EventLoop> ownLoop;
+    EventLoop &loop;
     PeerOutbox outbox;
     Random random;
     PeerConnectionContext context;
@@ -87,8 +92,23 @@
     }
 }
 
+/** Runs @p task on the loop's thread, after the present call in any case. */
+void PeerTransport::Private::run(EventLoop::Task task)
+{
+    if (ownLoop) {
+        loop.post(std::move(task));
+    } else {
+        loop.defer(std::move(task));
+    }
+}
+
 PeerTransport::PeerTransport(PeerTransportOptions options, PeerTransportHandlers handlers)
-    : m_d(std::make_unique<Private>(std::move(options), std::move(handlers)))
+    : m_d(std::make_unique<Private>(std::move(options), std::move(handlers), nullptr))
+{
+}
+
+PeerTransport::PeerTransport(PeerTransportOptions options, PeerTransportHandlers handlers, EventLoop &loop)
+    : m_d(std::make_unique<Private>(std::move(options), std::move(handlers), &loop))
 {
 }
 
@@ -103,7 +123,7 @@
     if (!socket) {
         return tl::unexpected(socket.error());
     }
-    if (!m_d->loop.open()) {
+    if (m_d->ownLoop && !m_d->loop.open()) {
         return tl::unexpected(PeerTransportError { PeerTransportErrorKind::System,
                                                    std::string("can't wait for sockets: ") + std::strerror(errno) });
     }
@@ -112,7 +132,9 @@
         std::make_unique<PeerListener>(m_d->context, std::move(*socket), [this](const HostId &from, std::string bytes) {
             return m_d->handlers.onMessage(from, std::move(bytes));
         });
-    m_d->thread = Thread("peers", [this] { m_d->loop.run(); });
+    if (m_d->ownLoop) {
+        m_d->thread = Thread("peers", [this] { m_d->loop.run(); });
+    }
     return {};
 }
 
@@ -121,9 +143,13 @@
     if (!m_d->listener) {
         return;
     }
-    m_d->loop.post([this] { m_d->drainAll(); });
-    m_d->loop.quit();
-    m_d->thread.join();
+    if (m_d->ownLoop) {
+        m_d->loop.post([this] { m_d->drainAll(); });
+        m_d->loop.quit();
+        m_d->thread.join();
+    } else {
+        m_d->drainAll();
+    }
     m_d->links.clear();
     m_d->listener.reset();
 }
@@ -135,12 +161,12 @@
 
 void PeerTransport::connect(const HostId &peer, const Address &address)
 {
-    m_d->loop.post([this, peer, address] { m_d->setLink(peer, address); });
+    m_d->run([this, peer, address] { m_d->setLink(peer, address); });
 }
 
 void PeerTransport::disconnect(const HostId &peer)
 {
-    m_d->loop.post([this, peer] { m_d->links.erase(peer); });
+    m_d->run([this, peer] { m_d->links.erase(peer); });
 }
 
 bool PeerTransport::send(const HostId &peer, std::string bytes)
@@ -154,7 +180,7 @@
         return false;
     }
     if (!m_d->isDrainPosted.exchange(true)) {
-        m_d->loop.post([this] { m_d->drainAll(); });
+        m_d->run([this] { m_d->drainAll(); });
     }
     return true;
 }
--- a/src/libpeer/peertransport.h
+++ b/src/libpeer/peertransport.h
@@ -12,6 +12,8 @@
 
 namespace currantring {
 
+class EventLoop;
+
 /** What a PeerTransport is told at its start. */
 struct PeerTransportOptions
 {
@@ -88,12 +90,15 @@
  * Carries messages between hosts over HTTP/2, one stream for each, on a connection for each direction.
  *
  * All links of the process share one thread. Thread safety: every method may be called from any thread, but start
- * and stop from the owning one only.
+ * and stop from the owning one only; on a given loop, all from the loop's thread.
  */
 class PeerTransport
 {
 public:
+    /** With a thread of its own. */
     PeerTransport(PeerTransportOptions options, PeerTransportHandlers handlers);
+    /** On the thread of @p loop, which every method must be called from. Precondition: @p loop outlives the object. */
+    PeerTransport(PeerTransportOptions options, PeerTransportHandlers handlers, EventLoop &loop);
     /** Stops. */
     ~PeerTransport();
     PeerTransport(const PeerTransport &) = delete;
--- a/src/libscheduler/context.cpp
+++ b/src/libscheduler/context.cpp
@@ -1,5 +1,7 @@
 #include "context.h"
 
+#include <algorithm>
+
 namespace currantring {
 
 Context::Context(std::uint64_t seed)
@@ -85,41 +87,24 @@
 
 TimerId Context::schedule(Milliseconds delay, std::function<void()> then)
 {
-    const TimerId id(++m_lastTimer);
-    const TimePoint due = m_now + std::max(delay, Milliseconds(0));
-    m_timers.insert(Timer { due, id });
-    m_timerBodies.emplace(id, std::pair(due, std::move(then)));
-    return id;
+    return m_timers.schedule(m_now + std::max(delay, Milliseconds(0)), std::move(then));
 }
 
 void Context::cancel(TimerId timer)
 {
-    const auto body = m_timerBodies.find(timer);
-    if (body == m_timerBodies.end()) {
-        return;
-    }
-    m_timers.erase(Timer { body->second.first, timer });
-    m_timerBodies.erase(body);
+    m_timers.cancel(timer);
 }
 
 void Context::advance(TimePoint now, WallTime wallNow)
 {
     m_now = std::max(m_now, now);
     m_wallNow = wallNow;
-    while (!m_timers.empty() && m_timers.begin()->due <= m_now) {
-        const TimerId id = m_timers.begin()->id;
-        m_timers.erase(m_timers.begin());
-        auto body = m_timerBodies.extract(id);
-        body.mapped().second();
-    }
+    m_timers.runDue(m_now);
 }
 
 std::optional<TimePoint> Context::nextTimer() const
 {
-    if (m_timers.empty()) {
-        return std::nullopt;
-    }
-    return m_timers.begin()->due;
+    return m_timers.next();
 }
 
 std::vector<Action> Context::takeActions()
--- a/src/libscheduler/context.h
+++ b/src/libscheduler/context.h
@@ -5,13 +5,13 @@
 #include "peermessage.h"
 #include "random.h"
 #include "storerequest.h"
+#include "timerqueue.h"
 #include "units.h"
 #include "workerrequest.h"
 
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -20,10 +20,6 @@
 
 /** Matches the result of an outside call to its continuation. */
 using CallId = Strong<std::uint64_t, struct CallIdTag>;
-/** Names a timer so that it can be cancelled. */
-using TimerId = Strong<std::uint64_t, struct TimerIdTag>;
-/** Names a caller that waits at this host. */
-using CallerToken = Strong<std::uint64_t, struct CallerTokenTag>;
 
 struct StoreCallAction
 {
@@ -147,24 +143,15 @@
 private:
     CallId nextCall();
 
-    struct Timer
-    {
-        TimePoint due;
-        TimerId id;
-        auto operator<=>(const Timer &) const = default;
-    };
-
     TimePoint m_now {};
     WallTime m_wallNow {};
     Random m_random;
     std::uint64_t m_lastCall = 0;
-    std::uint64_t m_lastTimer = 0;
     std::vector<Action> m_actions;
     std::map<CallId, StoreContinuation> m_storeCalls;
     std::map<CallId, WorkerContinuation> m_workerCalls;
     std::map<CallId, EndpointContinuation> m_endpointCalls;
-    std::set<Timer> m_timers;
-    std::map<TimerId, std::pair<TimePoint, std::function<void()>>> m_timerBodies;
+    TimerQueue m_timers;
 };
 
 } // namespace currantring
