--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 7> runEndNames { "done",   "failed", "stopped", "lapsed",
-                                                        "broken", "alone",  "lost" };
+constexpr std::array<std::string_view, 7> runEndNames {
+    "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"
+};
 constexpr std::array<std::string_view, 5> jobPhaseNames { "queued", "running", "completed", "failed", "cancelled" };
 
 } // namespace
--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -148,9 +148,9 @@
         m_context.cancel(m_commitTimer->second);
     }
     m_commitTimer = { due, m_context.schedule(due - m_context.now(), m_lifetime.guard([this] {
-                          m_commitTimer.reset();
-                          commit();
-                      })) };
+                         m_commitTimer.reset();
+                         commit();
+                     })) };
 }
 
 void JobLog::commit()
@@ -305,8 +305,7 @@
                 then(WriterCheck::NoAnswer);
                 return;
             }
-            const bool isOurs =
-                !result->entries.empty() && result->entries.front().revision.value() == m_token.value();
+            const bool isOurs = !result->entries.empty() && result->entries.front().revision.value() == m_token.value();
             if (isOurs) {
                 m_lastConfirmed = std::max(m_lastConfirmed, sentAt);
                 then(WriterCheck::StillWriter);
--- a/src/libjobs/jobmessage.cpp
+++ b/src/libjobs/jobmessage.cpp
@@ -51,8 +51,8 @@
     }
     json operator()(const WriterBeat &beat) const
     {
-        return json::array({ WriterBeatKind, beat.token.value(), beat.address.value(), beat.configuration.value(),
-                             beat.isStuck });
+        return json::array(
+            { WriterBeatKind, beat.token.value(), beat.address.value(), beat.configuration.value(), beat.isStuck });
     }
     json operator()(const ConfigurationOffer &offer) const
     {
--- a/src/libjobs/jobmessage.h
+++ b/src/libjobs/jobmessage.h
@@ -64,8 +64,7 @@
     WriterToken token;
 };
 
-using JobMessage =
-    std::variant<HostBeat, WriterBeat, ConfigurationOffer, ForwardedCall, ForwardedAnswer, HandOver>;
+using JobMessage = std::variant<HostBeat, WriterBeat, ConfigurationOffer, ForwardedCall, ForwardedAnswer, HandOver>;
 
 /** CBOR. Thread safety: reentrant. */
 std::string encodeJobMessage(const JobMessage &message);
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -80,10 +80,9 @@
     const tl::expected<SiteConfiguration, Findings> decoded = m_formats.decodeConfiguration(text);
     if (!decoded) {
         for (const Finding &finding : decoded.error()) {
-            m_context.log(LogLevel::Error, events::configurationRefused,
-                          { { "source", std::string(source) },
-                            { "place", finding.place },
-                            { "finding", finding.message } });
+            m_context.log(
+                LogLevel::Error, events::configurationRefused,
+                { { "source", std::string(source) }, { "place", finding.place }, { "finding", finding.message } });
         }
         return;
     }
@@ -117,9 +116,8 @@
 bool JobNode::sendCall(ForwardNumber number, const CallerCall &call, Milliseconds timeLeft)
 {
     if (m_writer) {
-        m_writer->handle(call, m_lifetime.guard([this, number](const CallAnswer &answer) {
-            m_gateway.complete(number, answer);
-        }));
+        m_writer->handle(
+            call, m_lifetime.guard([this, number](const CallAnswer &answer) { m_gateway.complete(number, answer); }));
         return true;
     }
     if (!hearsWriter()) {
@@ -215,24 +213,23 @@
 
 void JobNode::findHosts(const std::string &after)
 {
-    m_context.callStore(
-        KvList { StoreLayout::hostsPrefix(), after, true }, registerTimeout,
-        m_lifetime.guard([this, after](const KvResult &result) {
-            if (!result) {
-                m_context.schedule(retryDelay, m_lifetime.guard([this, after] { findHosts(after); }));
-                return;
-            }
-            for (const KvEntry &entry : result->entries) {
-                const HostId host = StoreLayout::hostOf(entry.key);
-                if (host != m_options.self && m_writer && m_peers.try_emplace(host).second) {
-                    m_peers[host].address = Address(entry.value);
-                    m_context.linkPeer(host, Address(entry.value));
-                }
-            }
-            if (result->hasMore && !result->entries.empty()) {
-                findHosts(result->entries.back().key);
-            }
-        }));
+    m_context.callStore(KvList { StoreLayout::hostsPrefix(), after, true }, registerTimeout,
+                        m_lifetime.guard([this, after](const KvResult &result) {
+                            if (!result) {
+                                m_context.schedule(retryDelay, m_lifetime.guard([this, after] { findHosts(after); }));
+                                return;
+                            }
+                            for (const KvEntry &entry : result->entries) {
+                                const HostId host = StoreLayout::hostOf(entry.key);
+                                if (host != m_options.self && m_writer && m_peers.try_emplace(host).second) {
+                                    m_peers[host].address = Address(entry.value);
+                                    m_context.linkPeer(host, Address(entry.value));
+                                }
+                            }
+                            if (result->hasMore && !result->entries.empty()) {
+                                findHosts(result->entries.back().key);
+                            }
+                        }));
 }
 
 void JobNode::followWriter(const WriterClaim &claim)
@@ -258,9 +255,10 @@
         takeConfiguration(offer->text, from.value());
     } else if (const auto *call = std::get_if<ForwardedCall>(&message)) {
         if (m_writer) {
-            m_writer->handle(call->call, m_lifetime.guard([this, from, number = call->number](const CallAnswer &answer) {
-                m_context.sendPeer(from, ForwardedAnswer { number, answer });
-            }));
+            m_writer->handle(call->call,
+                             m_lifetime.guard([this, from, number = call->number](const CallAnswer &answer) {
+                                 m_context.sendPeer(from, ForwardedAnswer { number, answer });
+                             }));
         }
     } else if (const auto *answer = std::get_if<ForwardedAnswer>(&message)) {
         m_gateway.complete(answer->number, answer->answer);
@@ -337,9 +335,9 @@
     if (m_writer) {
         const std::optional<HostId> successor = chooseSuccessor();
         const WriterToken token = m_election.claim()->token;
-        m_context.log(LogLevel::Info, events::shardHandedOver,
-                      { { "to", successor ? successor->value() : "anyone" },
-                        { "token", std::to_string(token.value()) } });
+        m_context.log(
+            LogLevel::Info, events::shardHandedOver,
+            { { "to", successor ? successor->value() : "anyone" }, { "token", std::to_string(token.value()) } });
         if (successor) {
             m_context.sendPeer(*successor, HandOver { token });
         }
@@ -360,7 +358,8 @@
         }
         // In a rolling restart the host that was restarted last is the one that stays longest.
         const auto better = [](const Peer &left, const Peer &right) {
-            return std::pair(right.beat.processors, left.beat.uptime) < std::pair(left.beat.processors, right.beat.uptime);
+            return std::pair(right.beat.processors, left.beat.uptime)
+                < std::pair(left.beat.processors, right.beat.uptime);
         };
         if (best == nullptr || better(peer, *best)) {
             best = &peer;
--- a/src/libjobs/jobrecord.cpp
+++ b/src/libjobs/jobrecord.cpp
@@ -79,8 +79,7 @@
 
 std::shared_ptr<const Job> decodeJob(const json &source)
 {
-    auto job =
-        std::make_shared<Job>(std::make_shared<const JobSpec>(decodeJobSpec(source.at(0))),
+    auto job = std::make_shared<Job>(std::make_shared<const JobSpec>(decodeJobSpec(source.at(0))),
                                      WallTime(source.at(1).get<std::int64_t>()));
     std::uint32_t number = 0;
     for (const json &occurrence : source.at(2)) {
@@ -108,8 +107,8 @@
     }
     json operator()(const RunPlaced &record) const
     {
-        return json::array({ PlacedKind, encodeTask(record.run.task), record.run.number.value(),
-                             record.worker.value(), record.life.value() });
+        return json::array({ PlacedKind, encodeTask(record.run.task), record.run.number.value(), record.worker.value(),
+                             record.life.value() });
     }
     json operator()(const RunEnded &record) const
     {
@@ -134,7 +133,8 @@
                              WallTime(source.at(2).get<std::int64_t>()) };
     case PlacedKind:
         return RunPlaced { { decodeTask(source.at(1)), RunNumber(source.at(2).get<std::uint32_t>()) },
-                           WorkerId(source.at(3).get<std::string>()), WorkerLife(source.at(4).get<std::int64_t>()) };
+                           WorkerId(source.at(3).get<std::string>()),
+                           WorkerLife(source.at(4).get<std::int64_t>()) };
     case EndedKind:
         return RunEnded { { decodeTask(source.at(1)), RunNumber(source.at(2).get<std::uint32_t>()) },
                           static_cast<RunEnd>(source.at(3).get<int>()),
--- a/src/libjobs/jobspec.cpp
+++ b/src/libjobs/jobspec.cpp
@@ -23,9 +23,9 @@
 
 std::uint32_t flagsOf(const StepSpec &step)
 {
-    return (step.isGang ? GangFlag : 0U) | (step.wantsOneRack ? OneRackFlag : 0U) | (step.mayRunCopies ? CopiesFlag : 0U)
-        | (step.isLasting ? LastingFlag : 0U) | (step.isFiller ? FillerFlag : 0U)
-        | (step.hasCheckpoints ? CheckpointsFlag : 0U);
+    return (step.isGang ? GangFlag : 0U) | (step.wantsOneRack ? OneRackFlag : 0U)
+        | (step.mayRunCopies ? CopiesFlag : 0U) | (step.isLasting ? LastingFlag : 0U)
+        | (step.isFiller ? FillerFlag : 0U) | (step.hasCheckpoints ? CheckpointsFlag : 0U);
 }
 
 nlohmann::json encodeStep(const StepSpec &step)
@@ -80,7 +80,8 @@
     Findings run()
     {
         if (m_spec.steps.empty() || m_spec.steps.size() > maximumSteps) {
-            report("steps", "expected 1 to " + std::to_string(maximumSteps) + " steps, got "
+            report("steps",
+                   "expected 1 to " + std::to_string(maximumSteps) + " steps, got "
                        + std::to_string(m_spec.steps.size()));
         }
         for (std::size_t index = 0; index < m_spec.steps.size(); ++index) {
@@ -103,7 +104,8 @@
         const StepSpec &step = m_spec.steps.at(index);
         const std::string place = "steps[" + std::to_string(index) + "].";
         if (step.count < 1 || step.count > maximumTasksPerStep) {
-            report(place + "count", "expected 1 to " + std::to_string(maximumTasksPerStep) + " tasks, got "
+            report(place + "count",
+                   "expected 1 to " + std::to_string(maximumTasksPerStep) + " tasks, got "
                        + std::to_string(step.count));
         }
         for (const std::uint32_t earlier : step.after) {
@@ -123,7 +125,8 @@
     void checkSchedule(const JobSchedule &schedule)
     {
         if (schedule.repetitions < 1 || schedule.repetitions > maximumRepetitions) {
-            report("schedule", "expected 1 to " + std::to_string(maximumRepetitions) + " repetitions, got "
+            report("schedule",
+                   "expected 1 to " + std::to_string(maximumRepetitions) + " repetitions, got "
                        + std::to_string(schedule.repetitions));
         }
         if (schedule.interval.count() < 0) {
@@ -165,9 +168,9 @@
         spec.steps.push_back(decodeStep(step));
     }
     if (const nlohmann::json &schedule = json.at(4); !schedule.is_null()) {
-        spec.schedule = JobSchedule { WallTime(schedule.at(0).get<std::int64_t>()),
-                                      Milliseconds(schedule.at(1).get<std::int64_t>()),
-                                      schedule.at(2).get<std::uint32_t>() };
+        spec.schedule =
+            JobSchedule { WallTime(schedule.at(0).get<std::int64_t>()),
+                          Milliseconds(schedule.at(1).get<std::int64_t>()), schedule.at(2).get<std::uint32_t>() };
     }
     return spec;
 }
--- a/src/libjobs/jobtable.cpp
+++ b/src/libjobs/jobtable.cpp
@@ -57,9 +57,9 @@
 bool JobTable::end(const RunEnded &record)
 {
     Task *const task = findTask(record.run.task);
-    if (task == nullptr || std::erase_if(task->runs, [&record](const PlacedRun &run) {
-            return run.number == record.run.number;
-        }) == 0) {
+    if (task == nullptr
+        || std::erase_if(task->runs, [&record](const PlacedRun &run) { return run.number == record.run.number; })
+            == 0) {
         return false;
     }
     if (!record.checkpoint.value().empty()) {
--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -42,12 +42,12 @@
     m_context.log(LogLevel::Info, events::shardActive,
                   { { "token", std::to_string(m_options.token.value()) },
                     { "jobs", std::to_string(m_log.table().jobs().size()) } });
-    m_director = std::make_unique<RunDirector>(
-        m_options, std::move(m_formats), m_log, m_context,
-        RunDirector::Handlers { m_handlers.configuration, [this] {
-                                   // A worker's word isn't proof; the store's is.
-                                   m_log.checkWriter([](WriterCheck /*check*/) {});
-                               } });
+    m_director =
+        std::make_unique<RunDirector>(m_options, std::move(m_formats), m_log, m_context,
+                                      RunDirector::Handlers { m_handlers.configuration, [this] {
+                                                                 // A worker's word isn't proof; the store's is.
+                                                                 m_log.checkWriter([](WriterCheck /*check*/) {});
+                                                             } });
     m_director->begin();
     for (const auto &[call, then] : std::exchange(m_waiting, {})) {
         handle(call, then);
@@ -137,12 +137,12 @@
         return;
     }
     m_cancelling[call.job].push_back(std::move(then));
-    m_log.append(JobClosed { call.job, JobPhase::Cancelled, m_context.wallNow() }, RecordUrgency::Urgent,
-                 m_lifetime.guard([this, id = call.job] {
-                     m_context.log(LogLevel::Info, events::jobClosed,
-                                   { { "job", id.value() }, { "phase", "cancelled" } });
-                     answerAccepted(m_cancelling, id);
-                 }));
+    m_log.append(
+        JobClosed { call.job, JobPhase::Cancelled, m_context.wallNow() }, RecordUrgency::Urgent,
+        m_lifetime.guard([this, id = call.job] {
+            m_context.log(LogLevel::Info, events::jobClosed, { { "job", id.value() }, { "phase", "cancelled" } });
+            answerAccepted(m_cancelling, id);
+        }));
     m_director->closeJob(call.job);
 }
 
--- a/src/libjobs/prefixwatch.h
+++ b/src/libjobs/prefixwatch.h
@@ -22,7 +22,8 @@
         /** An entry is new, has changed or is gone; never an older state after a newer one. */
         std::function<void(const KvEntry &entry)> onChange;
         /** All entries were read; runs after each whole read. */
-        std::function<void()> onSynced = [] {};
+        std::function<void()> onSynced = [] {
+        };
     };
 
     /** Precondition: @p context outlives the object. */
--- a/src/libjobs/rundirector.cpp
+++ b/src/libjobs/rundirector.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr Milliseconds sweepInterval { 500 };
+
 RunEnd toRunEnd(ListedEnd end)
 {
     switch (end) {
@@ -41,7 +43,8 @@
                 [this](const WorkerId &worker) {
                     return linkHandlers(worker);
                 } })
-    , m_placer(m_fleet)
+    , m_pacer(m_neighbours)
+    , m_placer(m_fleet, m_neighbours)
 {
 }
 
@@ -85,6 +88,7 @@
         }
     }
     m_fleet.start();
+    sweep();
 }
 
 void RunDirector::inheritRuns(const Job &job)
@@ -339,10 +343,13 @@
 
 void RunDirector::finishLook(const WorkerId &worker)
 {
+    WorkerLink &looked = *m_fleet.find(worker);
+    m_neighbours.learn(looked, m_context.now());
+    paceFillers(looked);
     if (!std::exchange(m_hasNewEnds, false)) {
         return;
     }
-    const EndMark mark = m_fleet.find(worker)->endMark();
+    const EndMark mark = looked.endMark();
     m_log.flush(m_lifetime.guard([this, worker, mark] {
         if (WorkerLink *const link = m_fleet.find(worker)) {
             link->acknowledge(mark);
@@ -350,6 +357,26 @@
     }));
 }
 
+void RunDirector::paceFillers(WorkerLink &link)
+{
+    for (const PaceChange &change : m_pacer.decide(link, m_context.now())) {
+        m_context.log(LogLevel::Info, events::runPaced,
+                      { { "task", describe(change.run.task) },
+                        { "run", std::to_string(change.run.number.value()) },
+                        { "worker", link.entry().id.value() },
+                        { "percent", std::to_string(change.percent) } });
+        link.pace(change.run, change.percent);
+    }
+}
+
+void RunDirector::sweep()
+{
+    m_neighbours.forgetOld(m_context.now());
+    // Rooms for fillers open and close as loads swing, without an event of their own.
+    requestPass();
+    m_context.schedule(sweepInterval, m_lifetime.guard([this] { sweep(); }));
+}
+
 const WorkerFleet &RunDirector::fleet() const
 {
     return m_fleet;
--- a/src/libjobs/rundirector.h
+++ b/src/libjobs/rundirector.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "fillerpacer.h"
 #include "joblog.h"
+#include "neighbourmodel.h"
 #include "readysteps.h"
 #include "runplacer.h"
 #include "siteconfiguration.h"
@@ -68,6 +70,8 @@
     void recordEnd(const LiveRun &run, RunEnd end, const CheckpointId &checkpoint);
     void continueJob(const TaskRef &task);
     void finishLook(const WorkerId &worker);
+    void paceFillers(WorkerLink &link);
+    void sweep();
     void close(const JobId &job, JobPhase phase);
     [[nodiscard]] const QueueEntry *queueOf(const QueueName &name) const;
     [[nodiscard]] bool mayExtendLease() const;
@@ -81,6 +85,8 @@
     /** The last known entry of each queue, also of one that the configuration has dropped. */
     std::map<QueueName, QueueEntry> m_queues;
     WorkerFleet m_fleet;
+    NeighbourModel m_neighbours;
+    FillerPacer m_pacer;
     RunPlacer m_placer;
     ReadySteps m_ready;
     std::map<TaskRef, std::set<WorkerId>> m_failedOn;
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -6,6 +6,29 @@
 
 namespace {
 
+/** Makes a worker where the task failed before the last choice. */
+constexpr double failedHereCost = 1000;
+/** Distance from its target's stress that a filler must leave to a serving task. */
+constexpr double placementMargin = 0.03;
+/** Part of their processors that serving tasks use at their load's mean. */
+constexpr double servingUse = 0.5;
+/** In thousandths of a processor. */
+constexpr double leastUnused = 1000;
+/** Fillers that have all the processors that they want don't get faster. */
+constexpr double leastCrowding = 0.5;
+/** What stress beyond a target at peak load weighs, and the coefficient of a pair. */
+constexpr double excessWeight = 10;
+constexpr double coefficientWeight = 1.5;
+constexpr double mixingCost = 2;
+constexpr double emptyCost = 0.5;
+constexpr double disturbedWeight = 5;
+
+double freePart(const WorkerLink &link)
+{
+    const auto capacity = static_cast<double>(link.entry().capacity.processors.value());
+    return 1 - static_cast<double>(link.held().processors.value()) / capacity;
+}
+
 std::uint32_t tasksOfStep(const WorkerLink &link, const StepRef &step)
 {
     const auto first = link.runs().lower_bound(RunRef { { step, 0 }, RunNumber(0) });
@@ -23,8 +46,9 @@
 
 } // namespace
 
-RunPlacer::RunPlacer(WorkerFleet &fleet)
+RunPlacer::RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours)
     : m_fleet(fleet)
+    , m_neighbours(neighbours)
 {
 }
 
@@ -36,10 +60,13 @@
         if (!mayTake(*link, wish)) {
             continue;
         }
-        const double linkCost = cost(*link, wish);
-        if (best == nullptr || linkCost < bestCost) {
+        std::optional<double> linkCost = cost(*link, wish);
+        if (linkCost && wish.avoid != nullptr && wish.avoid->contains(id)) {
+            *linkCost += failedHereCost;
+        }
+        if (linkCost && (best == nullptr || *linkCost < bestCost)) {
             best = link.get();
-            bestCost = linkCost;
+            bestCost = *linkCost;
         }
     }
     return best;
@@ -65,18 +92,63 @@
     return step.spreadLimit == 0 || tasksOfStep(link, wish.ref) < step.spreadLimit;
 }
 
-double RunPlacer::cost(const WorkerLink &link, const PlacementWish &wish)
+std::optional<double> RunPlacer::cost(const WorkerLink &link, const PlacementWish &wish) const
 {
-    const auto capacity = static_cast<double>(link.entry().capacity.processors.value());
-    const double free = capacity - static_cast<double>(link.held().processors.value());
-    const auto fillers = static_cast<double>(link.fillerDemand().value());
-    const double failedHere = wish.avoid != nullptr && wish.avoid->contains(link.entry().id) ? 1000 : 0;
     if (wish.step.isFiller) {
-        const double crowding =
-            (fillers + static_cast<double>(wish.step.need.processors.value())) / std::max(free, 1000.0);
-        return failedHere + crowding + (hostsServing(link) ? 10 : 0);
+        return fillerCost(link, wish);
     }
-    return failedHere + free / capacity + fillers / capacity - (hostsServing(link) ? 1 : 0);
+    return wish.step.isServing() ? serverCost(link, wish) : plainCost(link);
+}
+
+/** How much slower fillers get, and how far serving tasks would come to their targets. */
+std::optional<double> RunPlacer::fillerCost(const WorkerLink &link, const PlacementWish &wish) const
+{
+    double servers = 0;
+    double disturbance = 0;
+    for (const auto &[ref, run] : link.runs()) {
+        if (!run.isServing()) {
+            continue;
+        }
+        const StepSpec &server = *run.step;
+        const double limit = m_neighbours.limit(server);
+        const double added = m_neighbours.fillerStress(wish.step, link, server.image);
+        if (m_neighbours.stress(run).value_or(0) + added > limit - placementMargin) {
+            return std::nullopt;
+        }
+        const double atPeak =
+            m_neighbours.expectedLoad(ref.task.step, server) + m_neighbours.addedStress(link, server.image) + added;
+        const double excess = std::max(atPeak - limit, 0.0);
+        disturbance = std::max(disturbance,
+                               excess * excessWeight
+                                   + m_neighbours.coefficient(wish.step.image, server.image) * coefficientWeight);
+        servers += static_cast<double>(server.need.processors.value());
+    }
+    const double others = static_cast<double>(link.held().processors.value()) - servers;
+    const double unused = static_cast<double>(link.entry().capacity.processors.value()) - others - servers * servingUse;
+    const auto demand = static_cast<double>((link.fillerDemand().value() + wish.step.need.processors.value()));
+    return std::max(demand / std::max(unused, leastUnused), leastCrowding) + disturbance;
+}
+
+/** Serving tasks of one image gather, so that the fillers that don't disturb them find room beside them. */
+double RunPlacer::serverCost(const WorkerLink &link, const PlacementWish &wish) const
+{
+    double same = 0;
+    double other = 0;
+    for (const auto &[ref, run] : link.runs()) {
+        if (run.isServing()) {
+            (run.step->image == wish.step.image ? same : other) += 1;
+        }
+    }
+    const double mixing = (other > 0 ? mixingCost : 0.0) + (same > 0 ? 0.0 : emptyCost);
+    const double disturbed = m_neighbours.addedStress(link, wish.step.image) * disturbedWeight;
+    return mixing + disturbed + freePart(link);
+}
+
+double RunPlacer::plainCost(const WorkerLink &link)
+{
+    const auto capacity = static_cast<double>(link.entry().capacity.processors.value());
+    return freePart(link) + static_cast<double>(link.fillerDemand().value()) / capacity
+        - (hostsServing(link) ? 1.0 : 0.0);
 }
 
 } // namespace currantring
--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "neighbourmodel.h"
 #include "workerfleet.h"
 
 #include <set>
@@ -24,17 +25,21 @@
 class RunPlacer
 {
 public:
-    /** Precondition: @p fleet outlives the object. */
-    explicit RunPlacer(WorkerFleet &fleet);
+    /** Precondition: @p fleet and @p neighbours outlive the object. */
+    RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours);
 
     /** Null when no worker has room now. */
     [[nodiscard]] WorkerLink *choose(const PlacementWish &wish) const;
 
 private:
     [[nodiscard]] bool mayTake(const WorkerLink &link, const PlacementWish &wish) const;
-    [[nodiscard]] static double cost(const WorkerLink &link, const PlacementWish &wish);
+    [[nodiscard]] std::optional<double> cost(const WorkerLink &link, const PlacementWish &wish) const;
+    [[nodiscard]] std::optional<double> fillerCost(const WorkerLink &link, const PlacementWish &wish) const;
+    [[nodiscard]] double serverCost(const WorkerLink &link, const PlacementWish &wish) const;
+    [[nodiscard]] static double plainCost(const WorkerLink &link);
 
     WorkerFleet &m_fleet;
+    const NeighbourModel &m_neighbours;
 };
 
 } // namespace currantring
--- a/src/libjobs/workerfleet.cpp
+++ b/src/libjobs/workerfleet.cpp
@@ -24,9 +24,10 @@
     , m_context(context)
     , m_handlers(std::move(handlers))
     , m_watch(m_formats.workerPrefix, context,
-              { [this](const KvEntry &entry) { take(entry); }, [this] {
-                   m_handlers.onListed();
-               } })
+              { [this](const KvEntry &entry) { take(entry); },
+                [this] {
+                    m_handlers.onListed();
+                } })
 {
     m_watch.setWait(watchWait);
 }
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -175,9 +175,8 @@
 
 void WorkerLink::sendStop(const RunRef &run)
 {
-    order(StopOrder { m_token, run }, m_lifetime.guard([this, run](const WorkerResult &result) {
-        handleStop(run, result);
-    }));
+    order(StopOrder { m_token, run },
+          m_lifetime.guard([this, run](const WorkerResult &result) { handleStop(run, result); }));
 }
 
 void WorkerLink::handleStop(const RunRef &run, const WorkerResult &result)
@@ -211,15 +210,14 @@
         return;
     }
     place->second.pace = percent;
-    order(PaceOrder { m_token, run, percent },
-          m_lifetime.guard([this, run, percent](const WorkerResult &result) {
-              const auto known = m_runs.find(run);
-              if (result || known == m_runs.end() || known->second.pace != percent) {
-                  return;
-              }
-              // The next decision orders it again.
-              known->second.pace = percent == 100 ? 0 : 100;
-          }));
+    order(PaceOrder { m_token, run, percent }, m_lifetime.guard([this, run, percent](const WorkerResult &result) {
+        const auto known = m_runs.find(run);
+        if (result || known == m_runs.end() || known->second.pace != percent) {
+            return;
+        }
+        // The next decision orders it again.
+        known->second.pace = percent == 100 ? 0 : 100;
+    }));
 }
 
 void WorkerLink::order(WorkerOrder order, JobDriver::WorkerHandler then)
@@ -229,8 +227,7 @@
 
 Milliseconds WorkerLink::lookWait() const
 {
-    const bool isServing =
-        std::ranges::any_of(m_runs, [](const auto &entry) { return entry.second.isServing(); });
+    const bool isServing = std::ranges::any_of(m_runs, [](const auto &entry) { return entry.second.isServing(); });
     return isServing ? m_timing.servingLookWait : m_timing.lookWait;
 }
 
@@ -252,12 +249,13 @@
         m_leaseUntil = std::max(m_leaseUntil.value_or(*look.leaseUntil), *look.leaseUntil);
     }
     ++m_round;
-    m_context.callWorker(m_entry.id, m_entry.address, std::move(look), wait + lookMargin,
-                         m_lifetime.guard([this, round = m_round, sentAt = m_context.now()](const WorkerResult &result) {
-                             if (round == m_round) {
-                                 handleLook(sentAt, result);
-                             }
-                         }));
+    m_context.callWorker(
+        m_entry.id, m_entry.address, std::move(look), wait + lookMargin,
+        m_lifetime.guard([this, round = m_round, sentAt = m_context.now()](const WorkerResult &result) {
+            if (round == m_round) {
+                handleLook(sentAt, result);
+            }
+        }));
 }
 
 void WorkerLink::handleLook(TimePoint sentAt, const WorkerResult &result)
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -67,8 +67,8 @@
      * @p inheritedUntil: until then a former writer may have extended the worker's lease. Precondition: @p context
      * outlives the object.
      */
-    WorkerLink(WorkerEntry entry, WriterToken token, WorkerTiming timing, TimePoint inheritedUntil,
-               JobContext &context, Handlers handlers);
+    WorkerLink(WorkerEntry entry, WriterToken token, WorkerTiming timing, TimePoint inheritedUntil, JobContext &context,
+               Handlers handlers);
 
     /** Begins to look. */
     void begin();
--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -27,10 +27,9 @@
 
 std::string encodeClaim(const WriterElection::Options &options)
 {
-    return nlohmann::json { { "host", options.self.value() },
-                            { "address", options.address.value() },
-                            { "nonce", options.nonce } }
-        .dump();
+    return nlohmann::json {
+        { "host", options.self.value() }, { "address", options.address.value() }, { "nonce", options.nonce }
+    }.dump();
 }
 
 std::optional<WriterClaim> decodeClaim(const KvEntry &entry)
@@ -50,7 +49,9 @@
     , m_options(std::move(options))
     , m_context(context)
     , m_handlers(std::move(handlers))
-    , m_watch(m_layout.writerPrefix(), context, { [this](const KvEntry &entry) { take(entry); } })
+    , m_watch(m_layout.writerPrefix(), context, { [this](const KvEntry &entry) {
+                  take(entry);
+              } })
 {
     m_watch.setWait(watchWait);
     const std::int64_t lacking = std::max<std::int64_t>(fullProcessor - m_options.processors.value(), 0);
@@ -273,12 +274,13 @@
             return;
         }
         if (m_lease) {
-            m_context.callStore(KvRenewLease { *m_lease }, renewTimeout, m_lifetime.guard([this](const KvResult &result) {
-                if (!result && result.error().kind == KvErrorKind::LeaseGone && isWriter()) {
-                    m_lease.reset();
-                    grantAlive();
-                }
-            }));
+            m_context.callStore(KvRenewLease { *m_lease }, renewTimeout,
+                                m_lifetime.guard([this](const KvResult &result) {
+                                    if (!result && result.error().kind == KvErrorKind::LeaseGone && isWriter()) {
+                                        m_lease.reset();
+                                        grantAlive();
+                                    }
+                                }));
         } else {
             grantAlive();
         }
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -135,8 +135,8 @@
     pool.waiting.push_back(pending);
 }
 
-HttpClient::Private::ConnectionPointer
-HttpClient::Private::findIdle(Pool &pool, const std::optional<ConnectionId> &onlyOver) const
+HttpClient::Private::ConnectionPointer HttpClient::Private::findIdle(Pool &pool,
+                                                                     const std::optional<ConnectionId> &onlyOver) const
 {
     for (const ConnectionPointer &connection : pool.connections) {
         const bool isWanted = !onlyOver || connection->id == *onlyOver;
@@ -167,8 +167,7 @@
     connection->bytes = std::make_unique<ByteConnection>(
         loop, std::move(socket), true,
         ByteConnection::Handlers { [weak] { weak.lock()->isConnected = true; },
-                                   [this, weak](std::string_view bytes) { receive(weak.lock(), bytes); },
-                                   [] {},
+                                   [this, weak](std::string_view bytes) { receive(weak.lock(), bytes); }, [] {},
                                    [this, weak](const std::string &reason) {
                                        endConnection(weak.lock(), reason);
                                    } });
