Give a silent worker up when its lease is over

Each look that failed might have extended the lease, so the bound moved on with every try. Ruled out: the history that the store dropped at the same time; the list was read again at once. Change: looks after a failed one don't extend the lease.

--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -244,7 +244,8 @@
         look.onlyOver = m_channel;
         look.acknowledged = m_acknowledged;
     }
-    if (m_clock && m_handlers.mayExtendLease()) {
+    // A worker that doesn't answer would never be given up if each try might extend its lease.
+    if (m_clock && m_failedLooks == 0 && m_handlers.mayExtendLease()) {
         look.leaseUntil = WorkerTime(clockNow().value() + m_timing.lease.count());
         m_leaseUntil = std::max(m_leaseUntil.value_or(*look.leaseUntil), *look.leaseUntil);
     }
@@ -269,7 +270,7 @@
 
 void WorkerLink::takeAnswer(TimePoint sentAt, const WorkerAnswer &answer)
 {
-    const bool isFirst = !m_lastAnswer;
+    const bool wasExtended = m_clock && m_failedLooks == 0;
     m_failedLooks = 0;
     m_lastAnswer = m_context.now();
     if (answer.life && *answer.life != m_life) {
@@ -294,9 +295,8 @@
     dropAbsent(sentAt, answer);
     setReachable(true, "answers");
     m_handlers.onLooked();
-    if (isFirst || m_told == before) {
-        // The first look had no clock to set a lease by.
-        look(isFirst ? Milliseconds(0) : lookWait());
+    if (!wasExtended || m_told == before) {
+        look(wasExtended ? lookWait() : Milliseconds(0));
     } else {
         continueLooking();
     }
