Quarantine workers that fail, and test whole sites in virtual time

Cause: a worker that fails all that it starts used up the attempts of tasks that came back to it (seen in the new fault table: jobs shown as failed on a site with one failing worker). Change: WorkerHealth (suspicion that fades, quarantine, probation; the last attempt of a task goes to a worker that is well); a writer may extend leases for 3 s after the store last confirmed it (5 s before), so that a successor waits less for a worker that nobody reaches.

--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -23,7 +23,7 @@
 constexpr Milliseconds longWatch { 8000 };
 constexpr Milliseconds shortWatch { 1500 };
 /** Time that a writer may extend workers' leases after the store last confirmed it. */
-constexpr Milliseconds confirmationTerm { 5000 };
+constexpr Milliseconds confirmationTerm { 3000 };
 constexpr Milliseconds registerTimeout { 1500 };
 constexpr Milliseconds retryDelay { 300 };
 /** How long a stopping writer waits for the store. */
--- a/src/libjobs/rundirector.cpp
+++ b/src/libjobs/rundirector.cpp
@@ -44,7 +44,7 @@
                     return linkHandlers(worker);
                 } })
     , m_pacer(m_neighbours)
-    , m_placer(m_fleet, m_neighbours)
+    , m_placer(m_fleet, m_neighbours, m_health)
 {
 }
 
@@ -214,13 +214,13 @@
 bool RunDirector::placeTask(const ReadyKey &key, const ReadyStep &ready, std::uint32_t index, const QueueEntry &queue)
 {
     const TaskRef ref { key.step, index };
-    const auto failedOn = m_failedOn.find(ref);
+    const Task *const task = m_log.table().find(key.step.job)->task(ref);
+    const bool isLastAttempt = !ready.step->isLasting && task->failures > 0 && task->failures + 1 >= queue.attemptLimit;
     WorkerLink *const link = m_placer.choose(
-        { key.step, *ready.step, queue.service, failedOn == m_failedOn.end() ? nullptr : &failedOn->second });
+        { key.step, *ready.step, queue.service, m_health.failedOn(ref), isLastAttempt }, m_context.now());
     if (link == nullptr) {
         return false;
     }
-    const Task *const task = m_log.table().find(key.step.job)->task(ref);
     LiveRun run;
     run.ref = { ref, RunNumber(task->lastRun.value() + 1) };
     run.step = ready.step;
@@ -266,12 +266,20 @@
                     { "worker", worker.value() },
                     { "how", std::string(runEndName(toRunEnd(end))) },
                     { "after_ms", std::to_string((m_context.now() - run.placedAt).count()) } });
-    if (end == ListedEnd::Failed) {
-        m_failedOn[run.ref.task].insert(worker);
-    }
+    noteHealth(worker, run.ref.task, end);
     recordEnd(run, toRunEnd(end), checkpoint);
 }
 
+void RunDirector::noteHealth(const WorkerId &worker, const TaskRef &task, ListedEnd end)
+{
+    if (end == ListedEnd::Done) {
+        m_health.noteSuccess(worker);
+    } else if (end == ListedEnd::Failed && m_health.noteFailure(worker, task, m_context.now())) {
+        m_context.log(LogLevel::Warning, events::workerQuarantined,
+                      { { "worker", worker.value() }, { "task", describe(task) } });
+    }
+}
+
 void RunDirector::takeLoss(const WorkerId &worker, const LiveRun &run, std::string_view reason)
 {
     m_context.log(LogLevel::Info, events::runLost,
@@ -308,7 +316,7 @@
         openTask(*job, ref);
         return;
     }
-    m_failedOn.erase(ref);
+    m_health.forget(ref);
     if (job->isWholeDone()) {
         close(ref.step.job, JobPhase::Completed);
         return;
--- a/src/libjobs/rundirector.h
+++ b/src/libjobs/rundirector.h
@@ -67,6 +67,7 @@
     void startRun(const RunRef &run, const WorkerId &worker);
     void takeEnd(const WorkerId &worker, const LiveRun &run, ListedEnd end, const CheckpointId &checkpoint);
     void takeLoss(const WorkerId &worker, const LiveRun &run, std::string_view reason);
+    void noteHealth(const WorkerId &worker, const TaskRef &task, ListedEnd end);
     void recordEnd(const LiveRun &run, RunEnd end, const CheckpointId &checkpoint);
     void continueJob(const TaskRef &task);
     void finishLook(const WorkerId &worker);
@@ -86,10 +87,10 @@
     std::map<QueueName, QueueEntry> m_queues;
     WorkerFleet m_fleet;
     NeighbourModel m_neighbours;
+    WorkerHealth m_health;
     FillerPacer m_pacer;
     RunPlacer m_placer;
     ReadySteps m_ready;
-    std::map<TaskRef, std::set<WorkerId>> m_failedOn;
     std::set<JobId> m_closing;
     bool m_passRequested = false;
     /** Whether ends were told in the look that is being taken in. */
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -8,6 +8,9 @@
 
 /** Makes a worker where the task failed before the last choice. */
 constexpr double failedHereCost = 1000;
+constexpr double suspicionCost = 1;
+/** A task that may not fail again waits rather than go to a worker that is more suspect. */
+constexpr double lastAttemptSuspicion = 0.5;
 /** Distance from its target's stress that a filler must leave to a serving task. */
 constexpr double placementMargin = 0.03;
 /** Part of their processors that serving tasks use at their load's mean. */
@@ -46,13 +49,14 @@
 
 } // namespace
 
-RunPlacer::RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours)
+RunPlacer::RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours, const WorkerHealth &health)
     : m_fleet(fleet)
     , m_neighbours(neighbours)
+    , m_health(health)
 {
 }
 
-WorkerLink *RunPlacer::choose(const PlacementWish &wish) const
+WorkerLink *RunPlacer::choose(const PlacementWish &wish, TimePoint now) const
 {
     WorkerLink *best = nullptr;
     double bestCost = 0;
@@ -60,18 +64,30 @@
         if (!mayTake(*link, wish)) {
             continue;
         }
-        std::optional<double> linkCost = cost(*link, wish);
-        if (linkCost && wish.avoid != nullptr && wish.avoid->contains(id)) {
-            *linkCost += failedHereCost;
-        }
-        if (linkCost && (best == nullptr || *linkCost < bestCost)) {
+        const std::optional<double> risk = riskCost(*link, wish, now);
+        const std::optional<double> load = risk ? cost(*link, wish) : std::nullopt;
+        if (load && (best == nullptr || *risk + *load < bestCost)) {
             best = link.get();
-            bestCost = *linkCost;
+            bestCost = *risk + *load;
         }
     }
     return best;
 }
 
+std::optional<double> RunPlacer::riskCost(const WorkerLink &link, const PlacementWish &wish, TimePoint now) const
+{
+    const WorkerId &worker = link.entry().id;
+    const bool failedHere = wish.avoid != nullptr && wish.avoid->contains(worker);
+    if (m_health.isQuarantined(worker, now) || (m_health.isOnProbation(worker, now) && !link.runs().empty())) {
+        return std::nullopt;
+    }
+    const double suspicion = m_health.suspicion(worker, now);
+    if (wish.isLastAttempt && suspicion > lastAttemptSuspicion) {
+        return std::nullopt;
+    }
+    return (failedHere ? failedHereCost : 0) + suspicion * suspicionCost;
+}
+
 bool RunPlacer::mayTake(const WorkerLink &link, const PlacementWish &wish) const
 {
     const WorkerEntry &entry = link.entry();
--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -2,6 +2,7 @@
 
 #include "neighbourmodel.h"
 #include "workerfleet.h"
+#include "workerhealth.h"
 
 #include <set>
 
@@ -13,8 +14,10 @@
     StepRef ref;
     const StepSpec &step;
     ServiceName service;
-    /** Workers where the task failed before; taken only when there is no other. */
+    /** Workers where the task failed or came to nothing before. */
     const std::set<WorkerId> *avoid = nullptr;
+    /** A further failure would be the end of the job. */
+    bool isLastAttempt = false;
 };
 
 /**
@@ -25,14 +28,17 @@
 class RunPlacer
 {
 public:
-    /** Precondition: @p fleet and @p neighbours outlive the object. */
-    RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours);
+    /** Precondition: the arguments outlive the object. */
+    RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours, const WorkerHealth &health);
 
     /** Null when no worker has room now. */
-    [[nodiscard]] WorkerLink *choose(const PlacementWish &wish) const;
+    [[nodiscard]] WorkerLink *choose(const PlacementWish &wish, TimePoint now) const;
 
 private:
     [[nodiscard]] bool mayTake(const WorkerLink &link, const PlacementWish &wish) const;
+    /** Nullopt when the worker is too unsound for the task. */
+    [[nodiscard]] std::optional<double> riskCost(const WorkerLink &link, const PlacementWish &wish,
+                                                 TimePoint now) const;
     [[nodiscard]] std::optional<double> cost(const WorkerLink &link, const PlacementWish &wish) const;
     [[nodiscard]] std::optional<double> fillerCost(const WorkerLink &link, const PlacementWish &wish) const;
     [[nodiscard]] double serverCost(const WorkerLink &link, const PlacementWish &wish) const;
@@ -40,6 +46,7 @@
 
     WorkerFleet &m_fleet;
     const NeighbourModel &m_neighbours;
+    const WorkerHealth &m_health;
 };
 
 } // namespace currantring
--- /dev/null
+++ b/tests/libjobs/virtualcustomers.cpp
@@ -0,0 +1,139 @@
+#include "virtualcustomers.h"
+
+#include <algorithm>
+
+namespace currantring {
+
+namespace {
+
+constexpr Milliseconds answerTime { 3100 };
+constexpr Milliseconds repeatAfter { 200 };
+constexpr Milliseconds patience { 12'000 };
+constexpr Milliseconds watchInterval { 700 };
+
+} // namespace
+
+VirtualCustomers::VirtualCustomers(VirtualSite &site, std::uint64_t seed)
+    : m_site(site)
+    , m_random(seed)
+{
+}
+
+HostId VirtualCustomers::anyHost()
+{
+    const std::vector<HostId> hosts = m_site.hosts();
+    return hosts[uniformBelow(m_random, hosts.size())];
+}
+
+void VirtualCustomers::submit(const JobSpec &spec, Milliseconds delay)
+{
+    const auto shared = std::make_shared<const JobSpec>(spec);
+    m_jobs.push_back(shared);
+    m_site.after(delay, [this, shared] {
+        trySubmit(shared, m_site.now() + patience);
+        watch(shared->id);
+    });
+}
+
+void VirtualCustomers::trySubmit(const std::shared_ptr<const JobSpec> &spec, TimePoint until)
+{
+    const std::size_t call = m_site.send(anyHost(), SubmitJob { spec });
+    m_site.after(answerTime, [this, spec, until, call] {
+        const std::optional<CallAnswer> &answer = m_site.calls()[call].answer;
+        const bool isSettled = answer && answer->outcome == CallOutcome::Accepted;
+        if (!isSettled && m_site.now() < until) {
+            m_site.after(repeatAfter, [this, spec, until] { trySubmit(spec, until); });
+        }
+    });
+}
+
+void VirtualCustomers::cancel(const JobId &job, Milliseconds delay)
+{
+    m_site.after(delay, [this, job] { tryCancel(job, m_site.now() + patience); });
+}
+
+void VirtualCustomers::tryCancel(const JobId &job, TimePoint until)
+{
+    const std::size_t call = m_site.send(anyHost(), CancelJob { job });
+    m_site.after(answerTime, [this, job, until, call] {
+        const std::optional<CallAnswer> &answer = m_site.calls()[call].answer;
+        const bool isSettled = answer && answer->outcome == CallOutcome::Accepted;
+        if (!isSettled && m_site.now() < until) {
+            tryCancel(job, until);
+        }
+    });
+}
+
+void VirtualCustomers::watch(const JobId &job)
+{
+    if (isOver(job)) {
+        return;
+    }
+    const std::size_t call = m_site.send(anyHost(), ReadJob { job });
+    m_site.after(watchInterval, [this, job, call] {
+        const std::optional<CallAnswer> &answer = m_site.calls()[call].answer;
+        if (answer && answer->outcome == CallOutcome::Found) {
+            m_shown[job] = answer->phase;
+        }
+        watch(job);
+    });
+}
+
+bool VirtualCustomers::isOver(const JobId &job) const
+{
+    const auto shown = m_shown.find(job);
+    return shown != m_shown.end() && shown->second != JobPhase::Queued && shown->second != JobPhase::Running;
+}
+
+void VirtualCustomers::finish(Milliseconds limit)
+{
+    m_site.runUntil(
+        [this] {
+            return std::ranges::all_of(m_jobs, [this](const auto &spec) {
+                return !m_site.judge().isAccepted(spec->id) || spec->steps.front().isLasting || isOver(spec->id);
+            });
+        },
+        limit);
+    for (const auto &spec : m_jobs) {
+        if (m_site.judge().isAccepted(spec->id) && !isOver(spec->id)) {
+            if (const std::optional<JobPhase> phase = m_site.phaseOf(spec->id)) {
+                m_shown[spec->id] = *phase;
+            }
+        }
+    }
+    m_site.judge().checkAllDone(m_shown);
+}
+
+void VirtualCustomers::submitMixture(std::uint64_t jobs, Milliseconds duration)
+{
+    const std::uint64_t first = m_jobs.size() + 1;
+    for (std::uint64_t number = first; number < first + jobs; ++number) {
+        const Milliseconds delay(
+            static_cast<std::int64_t>(uniformBelow(m_random, static_cast<std::uint64_t>(duration.count()))));
+        const std::uint64_t kind = uniformBelow(m_random, 10);
+        JobSpec spec = batchJob(number, 1 + static_cast<std::uint32_t>(uniformBelow(m_random, 3)),
+                                1 + static_cast<std::uint32_t>(uniformBelow(m_random, 6)),
+                                Milliseconds(100 + static_cast<std::int64_t>(uniformBelow(m_random, 900))));
+        if (kind < 2) {
+            spec = lastingJob(number, 2);
+            spec.steps.front().spreadLimit = kind == 0 ? 1 : 0;
+        } else if (kind == 2) {
+            spec = withPayload(spec, "fail=1");
+        } else if (kind == 3) {
+            spec = withPayload(spec, "fail=99");
+        } else if (kind == 4) {
+            spec.queue = QueueName("urgent");
+        } else if (kind == 5) {
+            for (StepSpec &step : spec.steps) {
+                step.isFiller = true;
+                step.image = ImageName("fill");
+            }
+        }
+        submit(spec, delay);
+        if (kind == 6) {
+            cancel(spec.id, delay + Milliseconds(static_cast<std::int64_t>(uniformBelow(m_random, 2000))));
+        }
+    }
+}
+
+} // namespace currantring
--- /dev/null
+++ b/tests/libjobs/virtualworker.cpp
@@ -0,0 +1,299 @@
+#include "virtualworker.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace currantring {
+
+namespace {
+
+constexpr Milliseconds longestLease { 6000 };
+constexpr Milliseconds stopTime { 100 };
+constexpr Milliseconds startupTime { 100 };
+constexpr Milliseconds failingTime { 20 };
+/** Time that never comes in a test. */
+constexpr Milliseconds never { 100'000'000 };
+
+} // namespace
+
+TaskBehaviour parseBehaviour(const std::string &payload)
+{
+    TaskBehaviour behaviour;
+    std::istringstream words(payload);
+    std::string word;
+    while (words >> word) {
+        const std::size_t sign = word.find('=');
+        if (sign == std::string::npos) {
+            continue;
+        }
+        const std::string key = word.substr(0, sign);
+        const std::int64_t value = std::stoll(word.substr(sign + 1));
+        if (key == "work") {
+            behaviour.work = Milliseconds(value);
+        } else if (key == "fail") {
+            behaviour.failingRuns = static_cast<std::uint32_t>(value);
+        } else if (key == "tail") {
+            behaviour.tail = value;
+        }
+    }
+    return behaviour;
+}
+
+VirtualWorker::VirtualWorker(WorkerEntry entry, TimePoint bornAt, Milliseconds clockOffset, FactHandler onFact)
+    : m_entry(std::move(entry))
+    , m_onFact(std::move(onFact))
+    , m_bornAt(bornAt)
+    , m_clockOffset(clockOffset)
+{
+}
+
+WorkerResult VirtualWorker::execute(const WorkerOrder &order, TimePoint now)
+{
+    advance(now);
+    const WriterToken token = std::visit([](const auto &kind) { return kind.token; }, order);
+    if (token < m_token) {
+        return refuse(WorkerFailure::Fenced, now);
+    }
+    m_token = token;
+    if (const auto *looked = std::get_if<LookOrder>(&order)) {
+        return look(*looked, now);
+    }
+    if (const auto *started = std::get_if<StartOrder>(&order)) {
+        return start(*started, now);
+    }
+    if (const auto *stopped = std::get_if<StopOrder>(&order)) {
+        return stop(*stopped, now);
+    }
+    return pace(std::get<PaceOrder>(order), now);
+}
+
+WorkerResult VirtualWorker::look(const LookOrder &order, TimePoint now)
+{
+    if (order.leaseUntil) {
+        extend(*order.leaseUntil, now);
+    }
+    for (const EndedRow &row : m_ends) {
+        if (row.number <= order.acknowledged) {
+            m_onFact({ WorkerFact::Kind::Acknowledged,
+                       now,
+                       m_entry.id,
+                       row.run,
+                       row.end,
+                       row.number <= m_lapsedEnds,
+                       {},
+                       {} });
+        }
+    }
+    std::erase_if(m_ends, [&order](const EndedRow &row) { return row.number <= order.acknowledged; });
+    return answer(now);
+}
+
+WorkerResult VirtualWorker::start(const StartOrder &order, TimePoint now)
+{
+    if (m_runs.contains(order.run)) {
+        extend(order.leaseUntil, now);
+        return answer(now);
+    }
+    if (const auto over = m_over.find(order.run.task); over != m_over.end() && order.run.number <= over->second) {
+        extend(order.leaseUntil, now);
+        return refuse(WorkerFailure::Superseded, now);
+    }
+    if (order.leaseUntil < clock(now)) {
+        return refuse(WorkerFailure::TooLate, now);
+    }
+    extend(order.leaseUntil, now);
+    Run run;
+    run.behaviour = parseBehaviour(order.payload);
+    run.startedAt = now;
+    run.endsAt = now + never;
+    if (m_isFailing) {
+        run.endsAt = now + failingTime;
+    } else if (run.behaviour.work && !m_isHanging) {
+        const auto work = static_cast<double>(run.behaviour.work->count()) * m_slowness;
+        run.endsAt = now + Milliseconds(static_cast<std::int64_t>(work));
+    }
+    m_onFact({ WorkerFact::Kind::Started, now, m_entry.id, order.run, ListedEnd::Done, false, order.payload,
+               order.resumeFrom });
+    m_runs.emplace(order.run, run);
+    return answer(now);
+}
+
+WorkerResult VirtualWorker::stop(const StopOrder &order, TimePoint now)
+{
+    RunNumber &over = m_over[order.run.task];
+    over = std::max(over, order.run.number);
+    if (const auto run = m_runs.find(order.run); run != m_runs.end() && !run->second.stopsAt) {
+        run->second.stopsAt = now + stopTime;
+    }
+    return answer(now);
+}
+
+WorkerResult VirtualWorker::pace(const PaceOrder &order, TimePoint now)
+{
+    const auto run = m_runs.find(order.run);
+    if (run == m_runs.end()) {
+        return refuse(WorkerFailure::Superseded, now);
+    }
+    run->second.pace = order.percent;
+    return answer(now);
+}
+
+void VirtualWorker::extend(WorkerTime until, TimePoint now)
+{
+    const Milliseconds left(until.value() - clock(now).value());
+    const TimePoint end = now + std::min(left, longestLease);
+    m_leaseEnd = std::max(m_leaseEnd.value_or(end), end);
+}
+
+void VirtualWorker::advance(TimePoint now)
+{
+    const bool isLapsed = m_leaseEnd && *m_leaseEnd <= now;
+    if (isLapsed) {
+        m_lapsedEnds = m_lastEnd;
+    }
+    std::vector<std::pair<RunRef, ListedEnd>> over;
+    for (const auto &[ref, run] : m_runs) {
+        if (run.stopsAt && *run.stopsAt <= now) {
+            over.emplace_back(ref, ListedEnd::Stopped);
+        } else if (run.endsAt <= now) {
+            const bool fails = m_isFailing || ref.number.value() <= run.behaviour.failingRuns;
+            over.emplace_back(ref, fails ? ListedEnd::Failed : ListedEnd::Done);
+        } else if (isLapsed) {
+            over.emplace_back(ref, ListedEnd::Lapsed);
+        }
+    }
+    for (const auto &[ref, how] : over) {
+        end(ref, how, now);
+    }
+}
+
+std::optional<TimePoint> VirtualWorker::nextEvent(TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&next, now](TimePoint at) {
+        if (at > now && (!next || at < *next)) {
+            next = at;
+        }
+    };
+    for (const auto &[ref, run] : m_runs) {
+        consider(run.endsAt);
+        if (run.stopsAt) {
+            consider(*run.stopsAt);
+        }
+    }
+    if (m_leaseEnd && !m_runs.empty()) {
+        consider(*m_leaseEnd);
+    }
+    return next;
+}
+
+void VirtualWorker::end(const RunRef &run, ListedEnd how, TimePoint now)
+{
+    m_runs.erase(run);
+    RunNumber &over = m_over[run.task];
+    over = std::max(over, run.number);
+    m_lastEnd = EndNumber(m_lastEnd.value() + 1);
+    m_ends.push_back({ m_lastEnd, run, how, {} });
+    fact(WorkerFact::Kind::Ended, now, run, how);
+}
+
+void VirtualWorker::restart(TimePoint now)
+{
+    for (const auto &[ref, run] : m_runs) {
+        fact(WorkerFact::Kind::Ended, now, ref, ListedEnd::Lapsed);
+    }
+    m_entry.life = WorkerLife(m_entry.life.value() + 1 + now.time_since_epoch().count());
+    m_bornAt = now;
+    m_token = WriterToken(0);
+    m_leaseEnd.reset();
+    m_runs.clear();
+    m_ends.clear();
+    m_lastEnd = EndNumber(0);
+    m_lapsedEnds = EndNumber(0);
+    m_over.clear();
+}
+
+void VirtualWorker::fact(WorkerFact::Kind kind, TimePoint now, const RunRef &run, ListedEnd end)
+{
+    m_onFact({ kind, now, m_entry.id, run, end, false, {}, {} });
+}
+
+WorkerTime VirtualWorker::clock(TimePoint now) const
+{
+    return WorkerTime((now - m_bornAt + m_clockOffset).count());
+}
+
+WorkerAnswer VirtualWorker::answer(TimePoint now) const
+{
+    WorkerAnswer answer;
+    answer.clock = clock(now);
+    answer.life = m_entry.life;
+    for (const auto &[ref, run] : m_runs) {
+        RunningRow row;
+        row.run = ref;
+        const bool isUp = now - run.startedAt >= startupTime;
+        if (run.behaviour.work) {
+            const auto whole = std::max<std::int64_t>((run.endsAt - run.startedAt).count(), 1);
+            row.percent =
+                static_cast<std::uint32_t>(std::min<std::int64_t>((now - run.startedAt).count() * 100 / whole, 99));
+        } else {
+            row.percent = isUp ? 100 : 0;
+            row.gauge = isUp ? run.behaviour.tail : 0;
+        }
+        answer.running.push_back(row);
+    }
+    answer.ended = m_ends;
+    return answer;
+}
+
+WorkerResult VirtualWorker::refuse(WorkerFailure failure, TimePoint now) const
+{
+    return tl::unexpected(WorkerRefusal { failure, clock(now) });
+}
+
+bool VirtualWorker::hasEnds(EndNumber acknowledged) const
+{
+    return !m_ends.empty() && m_ends.back().number > acknowledged;
+}
+
+const WorkerEntry &VirtualWorker::entry() const
+{
+    return m_entry;
+}
+
+void VirtualWorker::setStanding(WorkerStanding standing)
+{
+    m_entry.standing = standing;
+}
+
+std::size_t VirtualWorker::runningCount() const
+{
+    return m_runs.size();
+}
+
+bool VirtualWorker::runs(const TaskRef &task) const
+{
+    return std::ranges::any_of(m_runs, [&task](const auto &entry) { return entry.first.task == task; });
+}
+
+void VirtualWorker::setFailing(bool isFailing)
+{
+    m_isFailing = isFailing;
+}
+
+void VirtualWorker::setHanging(bool isHanging, TimePoint now)
+{
+    m_isHanging = isHanging;
+    for (auto &[ref, run] : m_runs) {
+        if (isHanging && run.behaviour.work) {
+            run.endsAt = now + never;
+        }
+    }
+}
+
+void VirtualWorker::setSlowness(double factor)
+{
+    m_slowness = factor;
+}
+
+} // namespace currantring
