Move fillers that are all but halted to workers where they disturb nobody

Cause: on the print floor up to half of the fillers' processors were paced down, most of them beside a task that they disturb much (probe of the fleet every 0.5 s). Ruled out: crowding (a few percent). Change: a filler at 30 % or less for 0.5 s, with checkpoints or little progress, is stopped when another worker takes it.

--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -48,5 +48,6 @@
 inline constexpr std::string_view runEnded = "run_ended";
 inline constexpr std::string_view runLost = "run_lost";
 inline constexpr std::string_view runPaced = "run_paced";
+inline constexpr std::string_view runMoved = "run_moved";
 
 } // namespace currantring::events
--- a/src/libjobs/liverun.h
+++ b/src/libjobs/liverun.h
@@ -44,8 +44,9 @@
     /** Latest gauge of the worker's report; see RunningRow. */
     std::int64_t gauge = 0;
     bool wasReported = false;
-    /** Share of its speed that it was last told to work at. */
+    /** Share of its speed that it was last told to work at, and since when. */
     std::uint32_t pace = 100;
+    TimePoint pacedAt {};
 
     [[nodiscard]] bool isServing() const
     {
--- a/src/libjobs/rundirector.cpp
+++ b/src/libjobs/rundirector.cpp
@@ -10,6 +10,11 @@
 namespace {
 
 constexpr Milliseconds sweepInterval { 500 };
+/** A filler at this pace or below for so long is worth moving. */
+constexpr std::uint32_t haltedPace = 30;
+constexpr Milliseconds haltedPatience { 500 };
+/** Percent of a run that may be thrown away by a move. */
+constexpr std::uint32_t littleProgress = 30;
 
 RunEnd toRunEnd(ListedEnd end)
 {
@@ -354,6 +359,7 @@
     WorkerLink &looked = *m_fleet.find(worker);
     m_neighbours.learn(looked, m_context.now());
     paceFillers(looked);
+    moveHalted(looked);
     if (!std::exchange(m_hasNewEnds, false)) {
         return;
     }
@@ -377,6 +383,31 @@
     }
 }
 
+/** Lets fillers that are all but halted go on elsewhere, where they disturb nobody. */
+void RunDirector::moveHalted(WorkerLink &link)
+{
+    std::vector<RunRef> halted;
+    for (const auto &[ref, run] : link.runs()) {
+        if (!run.isFiller() || run.phase != RunPhase::Running || run.pace > haltedPace
+            || m_context.now() - run.pacedAt < haltedPatience) {
+            continue;
+        }
+        const QueueEntry *const queue = queueOf(run.queue);
+        const bool isKept = run.step->hasCheckpoints || run.percent < littleProgress;
+        if (queue != nullptr && isKept
+            && m_placer.hasBetter({ ref.task.step, *run.step, queue->service, m_health.failedOn(ref.task), false },
+                                  link, m_context.now())) {
+            halted.push_back(ref);
+        }
+    }
+    if (!halted.empty()) {
+        const RunRef ref = halted.front();
+        m_context.log(LogLevel::Info, events::runMoved,
+                      { { "task", describe(ref.task) }, { "worker", link.entry().id.value() } });
+        link.stop(ref);
+    }
+}
+
 void RunDirector::sweep()
 {
     m_neighbours.forgetOld(m_context.now());
--- a/src/libjobs/rundirector.h
+++ b/src/libjobs/rundirector.h
@@ -72,6 +72,7 @@
     void continueJob(const TaskRef &task);
     void finishLook(const WorkerId &worker);
     void paceFillers(WorkerLink &link);
+    void moveHalted(WorkerLink &link);
     void sweep();
     void close(const JobId &job, JobPhase phase);
     [[nodiscard]] const QueueEntry *queueOf(const QueueName &name) const;
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -210,6 +210,7 @@
         return;
     }
     place->second.pace = percent;
+    place->second.pacedAt = m_context.now();
     order(PaceOrder { m_token, run, percent }, m_lifetime.guard([this, run, percent](const WorkerResult &result) {
         const auto known = m_runs.find(run);
         if (result || known == m_runs.end() || known->second.pace != percent) {
