--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -28,7 +28,7 @@
 struct JobLogLimits
 {
     /** Least time between two commits. */
-    Milliseconds commitInterval { 30 };
+    Milliseconds commitInterval { 50 };
     /** Longest time that relaxed records are gathered. */
     Milliseconds relaxedDelay { 80 };
     /** Closed jobs stay readable for this time. */
--- a/src/libjobs/prefixwatch.cpp
+++ b/src/libjobs/prefixwatch.cpp
@@ -35,6 +35,11 @@
     m_wait = wait;
 }
 
+void PrefixWatch::poll(Milliseconds interval)
+{
+    m_pollInterval = interval;
+}
+
 void PrefixWatch::refresh()
 {
     ++m_round;
@@ -100,7 +105,20 @@
     m_listed.clear();
     m_isSynced = true;
     m_handlers.onSynced();
-    watch();
+    goOn();
+}
+
+void PrefixWatch::goOn()
+{
+    if (!m_pollInterval) {
+        watch();
+        return;
+    }
+    m_context.schedule(*m_pollInterval, m_lifetime.guard([this, round = m_round] {
+        if (round == m_round) {
+            list({});
+        }
+    }));
 }
 
 void PrefixWatch::watch()
--- a/src/libjobs/prefixwatch.h
+++ b/src/libjobs/prefixwatch.h
@@ -10,7 +10,8 @@
 namespace currantring {
 
 /**
- * Follows all entries of the store under a prefix: reads them, then watches, and reads again when history is gone.
+ * Follows all entries of the store under a prefix: reads them, then watches, and reads again when history is gone; or
+ * reads them all again and again.
  *
  * Thread safety: one thread at a time.
  */
@@ -32,6 +33,8 @@
     void start();
     /** How long each watch waits at the store, from the next one on. */
     void setWait(Milliseconds wait);
+    /** Reads all entries in these intervals instead of watching; cheaper where most of them change all the time. */
+    void poll(Milliseconds interval);
     /** Reads all entries now instead of waiting for a change. */
     void refresh();
     /** When the store last answered; nullopt when it never has. */
@@ -43,6 +46,7 @@
     void list(const std::string &after);
     void handleList(const KvResult &result);
     void finishList();
+    void goOn();
     void watch();
     void handleWatch(const KvResult &result);
     void retry(std::function<void()> what);
@@ -53,6 +57,7 @@
     Handlers m_handlers;
     Lifetime m_lifetime;
     Milliseconds m_wait;
+    std::optional<Milliseconds> m_pollInterval;
     Milliseconds m_backoff {};
     /** Answers to calls of an earlier round are dropped. */
     std::uint64_t m_round = 0;
--- a/src/libjobs/workerfleet.cpp
+++ b/src/libjobs/workerfleet.cpp
@@ -11,7 +11,8 @@
 /** A worker may be missing from the list for so long, after an outage of the store, before it counts as gone. */
 constexpr Milliseconds unlistedGrace { 2000 };
 constexpr Milliseconds sweepInterval { 1000 };
-constexpr Milliseconds watchWait { 5000 };
+/** Workers change their entries with each sign of life, so that watching would tell of each. */
+constexpr Milliseconds listInterval { 1000 };
 
 } // namespace
 
@@ -29,7 +30,7 @@
                     m_handlers.onListed();
                 } })
 {
-    m_watch.setWait(watchWait);
+    m_watch.poll(listInterval);
 }
 
 void WorkerFleet::start()
