Refuse at once what the store can't record, and look slowly while ends wait

Change: while a commit has waited for 0.5 s, submissions and cancels are refused with a time to come back, since nothing was written; a change without an answer for 1.2 s is told to be undecided; looks go by the timer while ends wait.

--- a/src/libjobs/callgateway.cpp
+++ b/src/libjobs/callgateway.cpp
@@ -12,7 +12,9 @@
 /** A caller is told so long before its own time is over. */
 constexpr Milliseconds answerMargin { 60 };
 /** A call that was never sent is refused when no writer was found for so long. */
-constexpr Milliseconds writerPatience { 1500 };
+constexpr Milliseconds writerPatience { 1200 };
+/** A caller whose change got no answer for so long is told so, and does better to ask again than to wait. */
+constexpr Milliseconds changePatience { 1200 };
 /** An unanswered call is sent again after this time, since the message may have been lost. */
 constexpr Milliseconds resendInterval { 1000 };
 /** A takeover takes about this long. */
@@ -107,7 +109,9 @@
             continue;
         }
         Pending &pending = place->second;
-        const bool isOver = now >= pending.deadline;
+        const bool isChange =
+            std::holds_alternative<SubmitJob>(pending.call) || std::holds_alternative<CancelJob>(pending.call);
+        const bool isOver = now >= pending.deadline || (isChange && now - pending.takenAt >= changePatience);
         if (!pending.sentAt && (isOver || now - pending.takenAt >= writerPatience)) {
             finish(number, { CallOutcome::Refused, {}, 0, retryAfter }, "no-writer");
         } else if (isOver) {
--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -10,6 +10,9 @@
 
 /** An idle writer asks the store in these intervals whether it still is the writer. */
 constexpr Milliseconds confirmInterval { 1000 };
+/** While a commit waits for longer, what can't be recorded is refused at once. */
+constexpr Milliseconds storeTrouble { 500 };
+constexpr Milliseconds retryAfter { 1000 };
 
 void answerAccepted(std::map<JobId, std::vector<JobWriter::Answer>> &waiting, const JobId &job)
 {
@@ -96,6 +99,10 @@
         }
         return;
     }
+    if (m_log.commitAge() > storeTrouble) {
+        then({ CallOutcome::Refused, {}, 0, retryAfter });
+        return;
+    }
     m_accepting[id].push_back(std::move(then));
     const TimePoint begun = m_context.now();
     m_log.append(JobAccepted { call.spec, m_context.wallNow() }, RecordUrgency::Urgent,
@@ -136,6 +143,10 @@
         then({ CallOutcome::Accepted, {}, 0, {} });
         return;
     }
+    if (m_log.commitAge() > storeTrouble) {
+        then({ CallOutcome::Refused, {}, 0, retryAfter });
+        return;
+    }
     m_cancelling[call.job].push_back(std::move(then));
     m_log.append(
         JobClosed { call.job, JobPhase::Cancelled, m_context.wallNow() }, RecordUrgency::Urgent,
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -290,15 +290,17 @@
         m_told = EndNumber(0);
     }
     noteClock(answer.clock);
-    const EndNumber before = m_told;
     takeRunning(answer);
     takeEnded(answer);
     dropAbsent(sentAt, answer);
     setReachable(true, "answers");
     m_handlers.onLooked();
-    if (!wasExtended || m_told == before) {
-        look(wasExtended ? lookWait() : Milliseconds(0));
+    if (!wasExtended) {
+        look(Milliseconds(0));
+    } else if (m_acknowledged == m_told) {
+        look(lookWait());
     } else {
+        // The worker would answer at once as long as it lists ends that aren't acknowledged.
         continueLooking();
     }
 }
