--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -17,7 +17,7 @@
 struct WorkerTiming
 {
     /** Lease that each look asks for. */
-    Milliseconds lease { 6000 };
+    Milliseconds lease { 4500 };
     /** Longest lease that a worker grants, whoever asked for it. */
     Milliseconds longestLease { 6000 };
     /** Longest wait of one look at the worker. */
