--- a/src/libjobs/fillerpacer.cpp
+++ b/src/libjobs/fillerpacer.cpp
@@ -7,15 +7,16 @@
 
 namespace {
 
-/** Distance from the target's stress at which fillers are slowed, and to which. */
-constexpr double slowingMargin = 0.05;
-constexpr double slowedMargin = 0.09;
-/** Distance at which they are let go on faster. */
-constexpr double releaseMargin = 0.12;
+/** Distance from its target's stress that a serving task is held at. */
+constexpr double wantedMargin = 0.05;
+/** Stress is let be within this distance of what is wanted. */
+constexpr double deadBand = 0.02;
+/** A change of a load shows in the reports, and a change of pace in the load, after about this time. */
+constexpr double lagSeconds = 0.6;
 /** Fillers of pairs above this are slowed before all others. */
 constexpr double heavyCoefficient = 0.6;
 /** Others are slowed to this part of their pace at most in one decision. */
-constexpr double leastLightPace = 0.5;
+constexpr double leastLightPace = 0.3;
 /** A task that is over its target for longer has all fillers beside it halted. */
 constexpr Milliseconds haltAfter { 1000 };
 /** Paces are ordered in steps of this, in percent. */
@@ -50,10 +51,11 @@
             m_overSince.erase(ref);
             continue;
         }
-        const double limit = m_model.limit(*run.step);
-        slack = std::min(slack, limit - releaseMargin - *stress);
-        if (*stress > limit - slowingMargin) {
-            slowDown(link, run, *stress - (limit - slowedMargin), paces);
+        const double wanted = m_model.limit(*run.step) - wantedMargin;
+        const double expected = *stress + m_model.loadSlope(ref.task.step) * lagSeconds;
+        slack = std::min(slack, wanted - expected);
+        if (expected > wanted + deadBand) {
+            slowDown(link, run, expected - wanted, paces);
         }
         if (run.gauge > run.step->tailTarget.count()) {
             const TimePoint since = m_overSince.try_emplace(ref, now).first->second;
@@ -66,7 +68,7 @@
         for (auto &[ref, pace] : paces) {
             pace = 0;
         }
-    } else if (slack > 0) {
+    } else if (slack > deadBand) {
         speedUp(link, slack, paces);
     }
     std::vector<PaceChange> changes;
--- a/src/libjobs/neighbourmodel.cpp
+++ b/src/libjobs/neighbourmodel.cpp
@@ -10,6 +10,8 @@
 /** A task's tail isn't typical before this age, and a filler's effect doesn't show before the other. */
 constexpr Milliseconds serverWarmUp { 1500 };
 constexpr Milliseconds fillerWarmUp { 700 };
+constexpr Milliseconds slopeSpan { 600 };
+constexpr double steepestSlope = 0.15;
 constexpr Milliseconds loadForgotten { 20'000 };
 
 /** What is expected of a pair that was never seen together. */
@@ -85,7 +87,7 @@
     StepLoad &load = place->second;
     if (isNew) {
         load.load = unknownLoad;
-        load.image = run.step->image;
+        load.earlierAt = now;
     } else {
         const double seconds = std::chrono::duration<double>(now - load.at).count();
         load.load.variance = std::min(load.load.variance + loadDrift * seconds, unknownLoad.variance);
@@ -113,6 +115,7 @@
     const double loadGain = load.load.variance / spread;
     load.load.mean = std::clamp(load.load.mean + loadGain * surprise, 0.0, 1.0);
     load.load.variance *= 1 - loadGain;
+    updateSlope(load, now);
     for (std::size_t index = 0; index < shares.size(); ++index) {
         Estimate &estimate = estimates[index];
         const double gain = estimate.variance * shares[index].part / spread;
@@ -128,6 +131,25 @@
     }
 }
 
+void NeighbourModel::updateSlope(StepLoad &load, TimePoint now)
+{
+    if (now - load.earlierAt < slopeSpan) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(now - load.earlierAt).count();
+    const double slope = (load.load.mean - load.earlierMean) / seconds;
+    // The first span begins at a guess.
+    load.slope = load.earlierMean == 0 ? 0 : (load.slope + slope) / 2;
+    load.earlierMean = load.load.mean;
+    load.earlierAt = now;
+}
+
+double NeighbourModel::loadSlope(const StepRef &step) const
+{
+    const auto load = m_loads.find(step);
+    return load == m_loads.end() ? 0 : std::clamp(load->second.slope, -steepestSlope, steepestSlope);
+}
+
 void NeighbourModel::forgetOld(TimePoint now)
 {
     std::erase_if(m_loads, [now](const auto &entry) { return now - entry.second.at > loadForgotten; });
--- a/src/libjobs/neighbourmodel.h
+++ b/src/libjobs/neighbourmodel.h
@@ -41,6 +41,8 @@
     [[nodiscard]] double limit(const StepSpec &server) const;
     /** Stress of the step's own load that has to be reckoned with. */
     [[nodiscard]] double expectedLoad(const StepRef &step, const StepSpec &server) const;
+    /** How fast the step's own load changes, per second. */
+    [[nodiscard]] double loadSlope(const StepRef &step) const;
     /** Stress that the fillers of @p link add to a server of image @p server, at their present pace. */
     [[nodiscard]] double addedStress(const WorkerLink &link, const ImageName &server) const;
     /** The stress that a reported tail means; nullopt when nothing is known of the image. */
@@ -62,7 +64,10 @@
     {
         Estimate load;
         TimePoint at {};
-        ImageName image;
+        double slope = 0;
+        /** The load at an earlier moment, which the slope is taken from. */
+        double earlierMean = 0;
+        TimePoint earlierAt {};
     };
     struct Share
     {
@@ -74,6 +79,7 @@
     void learnServer(const LiveRun &run, const std::vector<Share> &shares, TimePoint now);
     [[nodiscard]] Estimate coefficientEstimate(const Pair &pair) const;
     StepLoad &predictLoad(const LiveRun &run, TimePoint now);
+    static void updateSlope(StepLoad &load, TimePoint now);
 
     std::map<ImageName, ServerImage> m_servers;
     std::map<StepRef, StepLoad> m_loads;
