Let fillers wait rather than crowd a worker or press serving tasks past their targets

Change: a filler waits when a worker's fillers would want more than 1.15 times the unused processors, or when a serving task would be over its target by more than 0.05 of stress at peak load.

--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -19,6 +19,10 @@
 constexpr double leastUnused = 1000;
 /** Fillers that have all the processors that they want don't get faster. */
 constexpr double leastCrowding = 0.5;
+/** Fillers wait rather than share processors beyond this, which would make all of them late. */
+constexpr double mostCrowding = 1.15;
+/** Stress beyond a target at peak load that pacing can be trusted with. */
+constexpr double mostExcess = 0.05;
 /** What stress beyond a target at peak load weighs, and the coefficient of a pair. */
 constexpr double excessWeight = 10;
 constexpr double coefficientWeight = 1.5;
@@ -142,6 +146,9 @@
         const double atPeak =
             m_neighbours.expectedLoad(ref.task.step, server) + m_neighbours.addedStress(link, server.image) + added;
         const double excess = std::max(atPeak - limit, 0.0);
+        if (excess > mostExcess) {
+            return std::nullopt;
+        }
         disturbance = std::max(disturbance,
                                excess * excessWeight
                                    + m_neighbours.coefficient(wish.step.image, server.image) * coefficientWeight);
@@ -150,7 +157,11 @@
     const double others = static_cast<double>(link.held().processors.value()) - servers;
     const double unused = static_cast<double>(link.entry().capacity.processors.value()) - others - servers * servingUse;
     const auto demand = static_cast<double>((link.fillerDemand().value() + wish.step.need.processors.value()));
-    return std::max(demand / std::max(unused, leastUnused), leastCrowding) + disturbance;
+    const double crowding = demand / std::max(unused, leastUnused);
+    if (crowding > mostCrowding && link.fillerDemand().value() > 0) {
+        return std::nullopt;
+    }
+    return std::max(crowding, leastCrowding) + disturbance;
 }
 
 /** Serving tasks of one image gather, so that the fillers that don't disturb them find room beside them. */
