--- a/src/libjobs/readysteps.h
+++ b/src/libjobs/readysteps.h
@@ -9,17 +9,6 @@
 
 namespace currantring {
 
-/** Place of a step in the order of what waits: smaller goes first. */
-struct ReadyKey
-{
-    std::uint32_t priority = 0;
-    /** When the job was accepted, or the occurrence was due. */
-    std::int64_t since = 0;
-    StepRef step;
-
-    auto operator<=>(const ReadyKey &) const = default;
-};
-
 /** The tasks of one step that wait for a worker. */
 struct ReadyStep
 {
@@ -28,45 +17,40 @@
     std::set<std::uint32_t> tasks;
 };
 
-/** The tasks that may start and have no run, in the order in which they are placed. */
+/** The tasks that may start and have no run, by step. */
 class ReadySteps
 {
 public:
-    using Steps = std::map<ReadyKey, ReadyStep>;
+    using Steps = std::map<StepRef, ReadyStep>;
 
-    void add(const ReadyKey &key, const std::shared_ptr<const StepSpec> &step, const QueueName &queue,
-             std::uint32_t task)
+    void add(const TaskRef &task, const std::shared_ptr<const StepSpec> &step, const QueueName &queue)
     {
-        m_keys[key.step] = key;
-        ReadyStep &ready = m_steps[key];
+        ReadyStep &ready = m_steps[task.step];
         ready.step = step;
         ready.queue = queue;
-        ready.tasks.insert(task);
+        ready.tasks.insert(task.index);
     }
 
     void remove(const TaskRef &task)
     {
-        const auto key = m_keys.find(task.step);
-        if (key == m_keys.end()) {
+        const auto ready = m_steps.find(task.step);
+        if (ready == m_steps.end()) {
             return;
         }
-        const auto ready = m_steps.find(key->second);
         ready->second.tasks.erase(task.index);
         if (ready->second.tasks.empty()) {
             m_steps.erase(ready);
-            m_keys.erase(key);
         }
     }
 
     void removeJob(const JobId &job)
     {
-        const auto first = m_keys.lower_bound(StepRef { job, 0, 0 });
+        const auto first = m_steps.lower_bound(StepRef { job, 0, 0 });
         auto last = first;
-        while (last != m_keys.end() && last->first.job == job) {
-            m_steps.erase(last->second);
+        while (last != m_steps.end() && last->first.job == job) {
             ++last;
         }
-        m_keys.erase(first, last);
+        m_steps.erase(first, last);
     }
 
     [[nodiscard]] const Steps &steps() const
@@ -76,7 +60,6 @@
 
 private:
     Steps m_steps;
-    std::map<StepRef, ReadyKey> m_keys;
 };
 
 } // namespace currantring
--- a/src/libjobs/rundirector.cpp
+++ b/src/libjobs/rundirector.cpp
@@ -137,9 +137,7 @@
     if (task->isDone || !task->runs.empty()) {
         return;
     }
-    const QueueEntry *const queue = queueOf(job.spec->queue);
-    const ReadyKey key { queue == nullptr ? 0 : queue->priority, job.acceptedAt.value(), ref.step };
-    m_ready.add(key, job.step(ref.step.step), job.spec->queue, ref.index);
+    m_ready.add(ref, job.step(ref.step.step), job.spec->queue);
     requestPass();
 }
 
@@ -189,18 +187,22 @@
     if (!m_fleet.isListed()) {
         return;
     }
-    std::vector<ReadyKey> keys;
-    for (const auto &[key, ready] : m_ready.steps()) {
-        keys.push_back(key);
+    std::vector<std::pair<JobUrgency, StepRef>> order;
+    for (const auto &[step, ready] : m_ready.steps()) {
+        if (const QueueEntry *const queue = queueOf(ready.queue)) {
+            const Job &job = *m_log.table().find(step.job);
+            order.emplace_back(urgencyOf(job, step.occurrence, *queue, m_context.wallNow()), step);
+        }
     }
-    for (const ReadyKey &key : keys) {
-        placeStep(key);
+    std::ranges::sort(order);
+    for (const auto &[urgency, step] : order) {
+        placeStep(step);
     }
 }
 
-void RunDirector::placeStep(const ReadyKey &key)
+void RunDirector::placeStep(const StepRef &step)
 {
-    const auto found = m_ready.steps().find(key);
+    const auto found = m_ready.steps().find(step);
     if (found == m_ready.steps().end()) {
         return;
     }
@@ -210,19 +212,18 @@
         return;
     }
     for (const std::uint32_t index : ready.tasks) {
-        if (!placeTask(key, ready, index, *queue)) {
+        if (!placeTask({ step, index }, ready, *queue)) {
             return;
         }
     }
 }
 
-bool RunDirector::placeTask(const ReadyKey &key, const ReadyStep &ready, std::uint32_t index, const QueueEntry &queue)
+bool RunDirector::placeTask(const TaskRef &ref, const ReadyStep &ready, const QueueEntry &queue)
 {
-    const TaskRef ref { key.step, index };
-    const Task *const task = m_log.table().find(key.step.job)->task(ref);
+    const Task *const task = m_log.table().find(ref.step.job)->task(ref);
     const bool isLastAttempt = !ready.step->isLasting && task->failures > 0 && task->failures + 1 >= queue.attemptLimit;
     WorkerLink *const link = m_placer.choose(
-        { key.step, *ready.step, queue.service, m_health.failedOn(ref), isLastAttempt }, m_context.now());
+        { ref.step, *ready.step, queue.service, m_health.failedOn(ref), isLastAttempt }, m_context.now());
     if (link == nullptr) {
         return false;
     }
--- a/src/libjobs/rundirector.h
+++ b/src/libjobs/rundirector.h
@@ -2,6 +2,7 @@
 
 #include "fillerpacer.h"
 #include "joblog.h"
+#include "joburgency.h"
 #include "neighbourmodel.h"
 #include "readysteps.h"
 #include "runplacer.h"
@@ -62,8 +63,8 @@
     void openTask(const Job &job, const TaskRef &task);
     void requestPass();
     void pass();
-    void placeStep(const ReadyKey &key);
-    bool placeTask(const ReadyKey &key, const ReadyStep &ready, std::uint32_t index, const QueueEntry &queue);
+    void placeStep(const StepRef &step);
+    bool placeTask(const TaskRef &ref, const ReadyStep &ready, const QueueEntry &queue);
     void startRun(const RunRef &run, const WorkerId &worker);
     void takeEnd(const WorkerId &worker, const LiveRun &run, ListedEnd end, const CheckpointId &checkpoint);
     void takeLoss(const WorkerId &worker, const LiveRun &run, std::string_view reason);
