Take a report for what it tells of: the last half second

Change: a filler's part is its mean pace over the half second that the report tells of, ended ones included; tails that no queue explains (50 times the target) aren't learnt from.

--- a/src/libjobs/liverun.h
+++ b/src/libjobs/liverun.h
@@ -44,9 +44,10 @@
     /** Latest gauge of the worker's report; see RunningRow. */
     std::int64_t gauge = 0;
     bool wasReported = false;
-    /** Share of its speed that it was last told to work at, and since when. */
+    /** Share of its speed that it was last told to work at, since when, and at which before. */
     std::uint32_t pace = 100;
     TimePoint pacedAt {};
+    std::uint32_t earlierPace = 100;
 
     [[nodiscard]] bool isServing() const
     {
--- a/src/libjobs/neighbourmodel.cpp
+++ b/src/libjobs/neighbourmodel.cpp
@@ -7,9 +7,14 @@
 
 namespace {
 
-/** A task's tail isn't typical before this age, and a filler's effect doesn't show before the other. */
+/** A task's tail isn't typical before this age. */
 constexpr Milliseconds serverWarmUp { 1500 };
-constexpr Milliseconds fillerWarmUp { 700 };
+/** A report tells of this time before it, and a change of pace has its effect after the other. */
+constexpr Milliseconds reportSpan { 500 };
+constexpr Milliseconds reportDelay { 50 };
+constexpr Milliseconds paceDelay { 100 };
+/** A tail this many times the target comes from a worker that stands still, not from its neighbours. */
+constexpr std::int64_t brokenTail = 50;
 constexpr Milliseconds slopeSpan { 600 };
 constexpr double steepestSlope = 0.15;
 constexpr Milliseconds loadForgotten { 20'000 };
@@ -33,6 +38,14 @@
 /** Tails shorter than this are taken as this, in ms. */
 constexpr double leastTail = 0.5;
 
+/** Part of the time that a report tells of, up to @p end, that lies between two moments. */
+double overlap(TimePoint from, TimePoint to, TimePoint end)
+{
+    const TimePoint begin = std::max(from, end - reportSpan);
+    const Milliseconds common = std::min(to, end) - begin;
+    return std::max(static_cast<double>(common.count()) / static_cast<double>(reportSpan.count()), 0.0);
+}
+
 double part(Millicores amount, Millicores capacity)
 {
     return static_cast<double>(amount.value()) / std::max(static_cast<double>(capacity.value()), 1.0);
@@ -42,40 +55,55 @@
 
 void NeighbourModel::learn(const WorkerLink &link, TimePoint now)
 {
-    bool isSettled = true;
-    const std::vector<Share> shares = fillerShares(link, now, isSettled);
+    const std::vector<Share> shares = fillerShares(link, now);
     for (const auto &[ref, run] : link.runs()) {
         const bool isTelling = run.isServing() && run.wasReported && run.phase == RunPhase::Running && run.gauge > 0
-            && run.percent == 100 && now - run.progressAt > serverWarmUp;
+            && run.gauge < run.step->tailTarget.count() * brokenTail && run.percent == 100
+            && now - run.progressAt > serverWarmUp;
         if (!isTelling) {
             continue;
         }
         ServerImage &image = m_servers[run.step->image];
         const double tail = std::max(static_cast<double>(run.gauge), leastTail);
         image.baseTail = image.baseTail == 0 ? tail : std::min(image.baseTail, tail);
-        if (isSettled) {
-            learnServer(run, shares, now);
-        }
+        learnServer(run, shares, now);
+    }
+}
+
+void NeighbourModel::noteEnded(const WorkerLink &link, const LiveRun &run, TimePoint now)
+{
+    if (run.isFiller() && run.settledAt) {
+        const double size = part(run.step->need.processors, link.entry().capacity.processors) * run.pace / 100;
+        m_ended[link.entry().id].push_back({ { run.step->image, size }, *run.settledAt, now });
     }
 }
 
-std::vector<NeighbourModel::Share> NeighbourModel::fillerShares(const WorkerLink &link, TimePoint now,
-                                                                bool &isSettled) const
+/** The fillers' parts of a worker's processors, as means over the time that the report tells of. */
+std::vector<NeighbourModel::Share> NeighbourModel::fillerShares(const WorkerLink &link, TimePoint now)
 {
     std::vector<Share> shares;
+    const auto add = [&shares](const ImageName &image, double size) {
+        const auto known = std::ranges::find(shares, image, &Share::image);
+        if (known != shares.end()) {
+            known->part += size;
+        } else if (size > 0) {
+            shares.push_back({ image, size });
+        }
+    };
+    const TimePoint end = now - reportDelay;
     for (const auto &[ref, run] : link.runs()) {
-        if (!run.isFiller()) {
+        if (!run.isFiller() || !run.settledAt) {
             continue;
         }
-        if (now - run.placedAt < fillerWarmUp || run.phase != RunPhase::Running) {
-            isSettled = false;
-        }
-        const double size = part(run.step->need.processors, link.entry().capacity.processors) * run.pace / 100;
-        const auto known = std::ranges::find(shares, run.step->image, &Share::image);
-        if (known != shares.end()) {
-            known->part += size;
-        } else {
-            shares.push_back({ run.step->image, size });
+        const TimePoint change = std::max(run.pacedAt + paceDelay, *run.settledAt);
+        const double pace =
+            overlap(*run.settledAt, change, end) * run.earlierPace + overlap(change, end, end) * run.pace;
+        add(run.step->image, part(run.step->need.processors, link.entry().capacity.processors) * pace / 100);
+    }
+    if (const auto ended = m_ended.find(link.entry().id); ended != m_ended.end()) {
+        std::erase_if(ended->second, [end](const EndedFiller &filler) { return filler.endedAt < end - reportSpan; });
+        for (const EndedFiller &filler : ended->second) {
+            add(filler.share.image, filler.share.part * overlap(filler.startedAt, filler.endedAt, end));
         }
     }
     return shares;
--- a/src/libjobs/neighbourmodel.h
+++ b/src/libjobs/neighbourmodel.h
@@ -32,6 +32,8 @@
 public:
     /** Takes in a worker's report. */
     void learn(const WorkerLink &link, TimePoint now);
+    /** A filler has ended on a worker; the next reports still show its effect. */
+    void noteEnded(const WorkerLink &link, const LiveRun &run, TimePoint now);
     /** Drops the loads of steps that weren't reported for long. */
     void forgetOld(TimePoint now);
 
@@ -74,8 +76,14 @@
         ImageName image;
         double part = 0;
     };
+    struct EndedFiller
+    {
+        Share share;
+        TimePoint startedAt {};
+        TimePoint endedAt {};
+    };
 
-    [[nodiscard]] std::vector<Share> fillerShares(const WorkerLink &link, TimePoint now, bool &isSettled) const;
+    [[nodiscard]] std::vector<Share> fillerShares(const WorkerLink &link, TimePoint now);
     void learnServer(const LiveRun &run, const std::vector<Share> &shares, TimePoint now);
     [[nodiscard]] Estimate coefficientEstimate(const Pair &pair) const;
     StepLoad &predictLoad(const LiveRun &run, TimePoint now);
@@ -84,6 +92,7 @@
     std::map<ImageName, ServerImage> m_servers;
     std::map<StepRef, StepLoad> m_loads;
     std::map<Pair, Estimate> m_coefficients;
+    std::map<WorkerId, std::vector<EndedFiller>> m_ended;
 };
 
 } // namespace currantring
--- a/src/libjobs/rundirector.cpp
+++ b/src/libjobs/rundirector.cpp
@@ -273,6 +273,7 @@
                     { "how", std::string(runEndName(toRunEnd(end))) },
                     { "after_ms", std::to_string((m_context.now() - run.placedAt).count()) } });
     noteHealth(worker, run.ref.task, end);
+    m_neighbours.noteEnded(*m_fleet.find(worker), run, m_context.now());
     recordEnd(run, toRunEnd(end), checkpoint);
 }
 
