Move runs away from workers that are slow or stand still

Change: RunWatch: a worker whose serving tasks are all over 8 times their targets with nothing beside them is unsound; its runs go on elsewhere two at a time, and it takes no new ones for 2 s; stalled runs and lasting tasks that don't come to work within 3 s are moved, too.

--- a/src/libjobs/rundirector.cpp
+++ b/src/libjobs/rundirector.cpp
@@ -10,11 +10,6 @@
 namespace {
 
 constexpr Milliseconds sweepInterval { 500 };
-/** A filler at this pace or below for so long is worth moving. */
-constexpr std::uint32_t haltedPace = 30;
-constexpr Milliseconds haltedPatience { 500 };
-/** Percent of a run that may be thrown away by a move. */
-constexpr std::uint32_t littleProgress = 30;
 
 RunEnd toRunEnd(ListedEnd end)
 {
@@ -50,6 +45,11 @@
                 } })
     , m_pacer(m_neighbours)
     , m_placer(m_fleet, m_neighbours, m_health)
+    , m_watch(m_neighbours, m_placer, m_health,
+              { [this](const LiveRun &run) { return wishFor(run); },
+                [this](const LiveRun &run) {
+                    return awayBeside(run);
+                } })
 {
 }
 
@@ -361,7 +361,7 @@
     WorkerLink &looked = *m_fleet.find(worker);
     m_neighbours.learn(looked, m_context.now());
     paceFillers(looked);
-    moveHalted(looked);
+    moveRuns(looked);
     if (!std::exchange(m_hasNewEnds, false)) {
         return;
     }
@@ -385,31 +385,45 @@
     }
 }
 
-/** Lets fillers that are all but halted go on elsewhere, where they disturb nobody. */
-void RunDirector::moveHalted(WorkerLink &link)
+/** Stops runs that get on badly; they are placed again once their ends are listed. */
+void RunDirector::moveRuns(WorkerLink &link)
 {
-    std::vector<RunRef> halted;
-    for (const auto &[ref, run] : link.runs()) {
-        if (!run.isFiller() || run.phase != RunPhase::Running || run.pace > haltedPace
-            || m_context.now() - run.pacedAt < haltedPatience) {
-            continue;
-        }
-        const QueueEntry *const queue = queueOf(run.queue);
-        const bool isKept = run.step->hasCheckpoints || run.percent < littleProgress;
-        if (queue != nullptr && isKept
-            && m_placer.hasBetter({ ref.task.step, *run.step, queue->service, m_health.failedOn(ref.task), false },
-                                  link, m_context.now())) {
-            halted.push_back(ref);
-        }
-    }
-    if (!halted.empty()) {
-        const RunRef ref = halted.front();
+    for (const RunMove &move : m_watch.decide(link, m_context.now())) {
         m_context.log(LogLevel::Info, events::runMoved,
-                      { { "task", describe(ref.task) }, { "worker", link.entry().id.value() } });
-        link.stop(ref);
+                      { { "task", describe(move.run.task) },
+                        { "run", std::to_string(move.run.number.value()) },
+                        { "worker", link.entry().id.value() },
+                        { "reason", std::string(move.reason) } });
+        link.stop(move.run);
     }
 }
 
+std::optional<PlacementWish> RunDirector::wishFor(const LiveRun &run) const
+{
+    const QueueEntry *const queue = queueOf(run.queue);
+    if (queue == nullptr) {
+        return std::nullopt;
+    }
+    return PlacementWish { run.ref.task.step, *run.step, queue->service, m_health.failedOn(run.ref.task), false };
+}
+
+std::uint32_t RunDirector::awayBeside(const LiveRun &run)
+{
+    const Job *const job = m_log.table().find(run.ref.task.step.job);
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; job != nullptr && index < run.step->count; ++index) {
+        const TaskRef task { run.ref.task.step, index };
+        const std::vector<PlacedRun> &runs = job->task(task)->runs;
+        const WorkerLink *const link = runs.empty() ? nullptr : m_fleet.find(runs.front().worker);
+        const auto live = link == nullptr ? std::map<RunRef, LiveRun>::const_iterator()
+                                          : link->runs().find(RunRef { task, runs.front().number });
+        const bool isAtWork = link != nullptr && live != link->runs().end() && live->second.phase == RunPhase::Running
+            && live->second.percent == 100;
+        away += isAtWork ? 0 : 1;
+    }
+    return away;
+}
+
 void RunDirector::sweep()
 {
     m_neighbours.forgetOld(m_context.now());
--- a/src/libjobs/rundirector.h
+++ b/src/libjobs/rundirector.h
@@ -6,6 +6,7 @@
 #include "neighbourmodel.h"
 #include "readysteps.h"
 #include "runplacer.h"
+#include "runwatch.h"
 #include "siteconfiguration.h"
 #include "workerfleet.h"
 
@@ -73,7 +74,9 @@
     void continueJob(const TaskRef &task);
     void finishLook(const WorkerId &worker);
     void paceFillers(WorkerLink &link);
-    void moveHalted(WorkerLink &link);
+    void moveRuns(WorkerLink &link);
+    [[nodiscard]] std::optional<PlacementWish> wishFor(const LiveRun &run) const;
+    [[nodiscard]] std::uint32_t awayBeside(const LiveRun &run);
     void sweep();
     void close(const JobId &job, JobPhase phase);
     [[nodiscard]] const QueueEntry *queueOf(const QueueName &name) const;
@@ -92,6 +95,7 @@
     WorkerHealth m_health;
     FillerPacer m_pacer;
     RunPlacer m_placer;
+    RunWatch m_watch;
     ReadySteps m_ready;
     std::set<JobId> m_closing;
     bool m_passRequested = false;
--- /dev/null
+++ b/src/libjobs/runwatch.cpp
@@ -0,0 +1,118 @@
+#include "runwatch.h"
+
+#include <algorithm>
+
+namespace currantring {
+
+namespace {
+
+/** A worker is unsound when all its serving tasks are over their targets by this factor, with nothing beside them. */
+constexpr std::int64_t unsoundTail = 8;
+constexpr Milliseconds unsoundPatience { 600 };
+/** A filler at this pace or below for so long is worth moving. */
+constexpr std::uint32_t haltedPace = 30;
+constexpr Milliseconds haltedPatience { 500 };
+/** Percent of a run that may be thrown away by a move. */
+constexpr std::uint32_t littleProgress = 30;
+constexpr std::uint32_t mostProgress = 70;
+/** A run without any progress for this time, and for so many times what a percent should take, stands still. */
+constexpr Milliseconds stallPatience { 1500 };
+constexpr std::int64_t stallPercents = 10;
+/** A lasting task that isn't at work so long after its start won't be. */
+constexpr Milliseconds startPatience { 3000 };
+constexpr std::size_t movesAtOnce = 2;
+
+bool isAtWork(const LiveRun &run)
+{
+    return run.phase == RunPhase::Running && run.wasReported && run.percent == 100;
+}
+
+} // namespace
+
+RunWatch::RunWatch(const NeighbourModel &neighbours, const RunPlacer &placer, WorkerHealth &health, Sources sources)
+    : m_neighbours(neighbours)
+    , m_placer(placer)
+    , m_health(health)
+    , m_sources(std::move(sources))
+{
+}
+
+std::vector<RunMove> RunWatch::decide(const WorkerLink &link, TimePoint now)
+{
+    const bool isWorkerUnsound = isUnsound(link, now);
+    if (isWorkerUnsound) {
+        m_health.noteUnsound(link.entry().id, now);
+    }
+    std::vector<RunMove> moves;
+    for (const auto &[ref, run] : link.runs()) {
+        if (run.phase != RunPhase::Running || moves.size() >= movesAtOnce) {
+            continue;
+        }
+        const std::string_view reason = reasonToMove(link, run, isWorkerUnsound, now);
+        if (reason.empty() || !mayMove(run)) {
+            continue;
+        }
+        const std::optional<PlacementWish> wish = m_sources.wishFor(run);
+        if (wish && m_placer.hasBetter(*wish, link, now)) {
+            moves.push_back({ ref, reason });
+        }
+    }
+    return moves;
+}
+
+bool RunWatch::isUnsound(const WorkerLink &link, TimePoint now)
+{
+    std::size_t serving = 0;
+    std::size_t slow = 0;
+    double disturbance = 0;
+    for (const auto &[ref, run] : link.runs()) {
+        if (!run.isServing() || !isAtWork(run) || run.gauge <= 0) {
+            continue;
+        }
+        ++serving;
+        slow += run.gauge > run.step->tailTarget.count() * unsoundTail ? 1 : 0;
+        disturbance = std::max(disturbance, m_neighbours.addedStress(link, run.step->image));
+    }
+    // Tails explode beside fillers, too, when these press a task past what it bears.
+    const bool isExplained = disturbance > 0.1;
+    if (serving == 0 || slow < serving || isExplained) {
+        m_slowSince.erase(link.entry().id);
+        return false;
+    }
+    const TimePoint since = m_slowSince.try_emplace(link.entry().id, now).first->second;
+    return now - since >= unsoundPatience;
+}
+
+std::string_view RunWatch::reasonToMove(const WorkerLink & /*link*/, const LiveRun &run, bool isWorkerUnsound,
+                                        TimePoint now) const
+{
+    const bool isKept = run.step->hasCheckpoints || run.percent < littleProgress;
+    if (run.step->isLasting) {
+        const bool isLate = run.percent < 100 && now - run.settledAt.value_or(now) > startPatience;
+        return isWorkerUnsound ? "worker-unsound" : isLate ? "not-at-work" : "";
+    }
+    if (isWorkerUnsound && (isKept || run.percent < mostProgress)) {
+        return "worker-unsound";
+    }
+    if (isStalled(run, now)) {
+        return "stalled";
+    }
+    const bool isHalted = run.isFiller() && run.pace <= haltedPace && now - run.pacedAt >= haltedPatience;
+    return isHalted && isKept ? "halted" : "";
+}
+
+bool RunWatch::isStalled(const LiveRun &run, TimePoint now)
+{
+    if (!run.wasReported || run.pace < haltedPace) {
+        return false;
+    }
+    const Milliseconds perPercent = run.step->estimate / run.pace;
+    return now - std::max(run.progressAt, run.pacedAt) > std::max(stallPatience, perPercent * stallPercents);
+}
+
+bool RunWatch::mayMove(const LiveRun &run) const
+{
+    return run.step->mayMiss == 0 || !isAtWork(run) || m_sources.awayBeside(run) < run.step->mayMiss;
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/runwatch.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "neighbourmodel.h"
+#include "runplacer.h"
+#include "workerhealth.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace currantring {
+
+/** A run that should go on elsewhere, and why. */
+struct RunMove
+{
+    RunRef run;
+    std::string_view reason;
+};
+
+/**
+ * Finds runs that get on badly where they are: on a worker that is slow or stands still, or halted beside a serving
+ * task.
+ *
+ * Thread safety: one thread at a time.
+ */
+class RunWatch
+{
+public:
+    struct Sources
+    {
+        /** What the placer has to know of a run's task. */
+        std::function<std::optional<PlacementWish>(const LiveRun &run)> wishFor;
+        /** Tasks of the run's step that aren't at work. */
+        std::function<std::uint32_t(const LiveRun &run)> awayBeside;
+    };
+
+    /** Precondition: the arguments outlive the object. */
+    RunWatch(const NeighbourModel &neighbours, const RunPlacer &placer, WorkerHealth &health, Sources sources);
+
+    /** The runs to move after a report of @p link; few at a time. */
+    std::vector<RunMove> decide(const WorkerLink &link, TimePoint now);
+
+private:
+    [[nodiscard]] bool isUnsound(const WorkerLink &link, TimePoint now);
+    [[nodiscard]] std::string_view reasonToMove(const WorkerLink &link, const LiveRun &run, bool isWorkerUnsound,
+                                                TimePoint now) const;
+    [[nodiscard]] bool mayMove(const LiveRun &run) const;
+    [[nodiscard]] static bool isStalled(const LiveRun &run, TimePoint now);
+
+    const NeighbourModel &m_neighbours;
+    const RunPlacer &m_placer;
+    WorkerHealth &m_health;
+    Sources m_sources;
+    /** Since when a worker's serving tasks have answered far too slowly. */
+    std::map<WorkerId, TimePoint> m_slowSince;
+};
+
+} // namespace currantring
--- a/src/libjobs/workerhealth.cpp
+++ b/src/libjobs/workerhealth.cpp
@@ -44,6 +44,15 @@
     return true;
 }
 
+void WorkerHealth::noteUnsound(const WorkerId &worker, TimePoint now)
+{
+    Record &record = m_records[worker];
+    record.quarantines = std::max(record.quarantines, 1U);
+    record.quarantinedUntil = now + firstQuarantine;
+    record.suspicion = probationSuspicion;
+    record.lastFailure = now;
+}
+
 const std::set<WorkerId> *WorkerHealth::failedOn(const TaskRef &task) const
 {
     const auto found = m_failedOn.find(task);
--- a/src/libjobs/workerhealth.h
+++ b/src/libjobs/workerhealth.h
@@ -22,6 +22,8 @@
     void noteSuccess(const WorkerId &worker);
     /** A run failed, or stood still; true when the worker is quarantined by it. */
     bool noteFailure(const WorkerId &worker, const TaskRef &task, TimePoint now);
+    /** Everything on the worker is slow or stands still. */
+    void noteUnsound(const WorkerId &worker, TimePoint now);
     /** Where the task failed; null when nowhere. */
     [[nodiscard]] const std::set<WorkerId> *failedOn(const TaskRef &task) const;
     /** The task is over. */
