--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -26,8 +26,6 @@
 /** What stress beyond a target at peak load weighs, and the coefficient of a pair. */
 constexpr double excessWeight = 10;
 constexpr double coefficientWeight = 1.5;
-/** A filler is moved only to a worker that costs less. */
-constexpr double goodCost = 1.5;
 constexpr double mixingCost = 2;
 constexpr double emptyCost = 0.5;
 constexpr double disturbedWeight = 5;
@@ -80,10 +78,10 @@
     return best;
 }
 
-bool RunPlacer::hasBetter(const PlacementWish &wish, const WorkerLink &present, TimePoint now) const
+bool RunPlacer::hasOther(const PlacementWish &wish, const WorkerLink &present, double mostCost, TimePoint now) const
 {
     const WorkerLink *const other = choose(wish, now);
-    return other != nullptr && other != &present && cost(*other, wish).value_or(goodCost) < goodCost;
+    return other != nullptr && other != &present && cost(*other, wish).value_or(mostCost) < mostCost;
 }
 
 std::optional<double> RunPlacer::riskCost(const WorkerLink &link, const PlacementWish &wish, TimePoint now) const
--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -33,8 +33,9 @@
 
     /** Null when no worker has room now. */
     [[nodiscard]] WorkerLink *choose(const PlacementWish &wish, TimePoint now) const;
-    /** Whether another worker than @p present would take the filler without much disturbance. */
-    [[nodiscard]] bool hasBetter(const PlacementWish &wish, const WorkerLink &present, TimePoint now) const;
+    /** Whether another worker than @p present would take the task, at a cost below @p mostCost. */
+    [[nodiscard]] bool hasOther(const PlacementWish &wish, const WorkerLink &present, double mostCost,
+                                TimePoint now) const;
 
 private:
     [[nodiscard]] bool mayTake(const WorkerLink &link, const PlacementWish &wish) const;
--- a/src/libjobs/runwatch.cpp
+++ b/src/libjobs/runwatch.cpp
@@ -21,6 +21,9 @@
 /** A lasting task that isn't at work so long after its start won't be. */
 constexpr Milliseconds startPatience { 3000 };
 constexpr std::size_t movesAtOnce = 2;
+/** What the new place may cost at most; what can't go on here takes any. */
+constexpr double goodCost = 1.5;
+constexpr double anyCost = 1000;
 
 bool isAtWork(const LiveRun &run)
 {
@@ -53,7 +56,8 @@
             continue;
         }
         const std::optional<PlacementWish> wish = m_sources.wishFor(run);
-        if (wish && m_placer.hasBetter(*wish, link, now)) {
+        const double mostCost = isWorkerUnsound ? anyCost : goodCost;
+        if (wish && m_placer.hasOther(*wish, link, mostCost, now)) {
             moves.push_back({ ref, reason });
         }
     }
