--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -139,14 +139,15 @@
         cancelling->second.push_back(std::move(then));
         return;
     }
-    if (job->isClosed()) {
-        then({ CallOutcome::Accepted, {}, 0, {} });
-        return;
-    }
     if (m_log.commitAge() > storeTrouble) {
         then({ CallOutcome::Refused, {}, 0, retryAfter });
         return;
     }
+    if (job->isClosed()) {
+        // Its end may not be on record yet; a successor would not know of it.
+        m_log.flush(m_lifetime.guard([then] { then({ CallOutcome::Accepted, {}, 0, {} }); }));
+        return;
+    }
     m_cancelling[call.job].push_back(std::move(then));
     m_log.append(
         JobClosed { call.job, JobPhase::Cancelled, m_context.wallNow() }, RecordUrgency::Urgent,
