--- a/cmake/currantring.cmake
+++ b/cmake/currantring.cmake
@@ -12,6 +12,7 @@
     target_include_directories(${NAME} PUBLIC ${PROJECT_SOURCE_DIR}/src/${NAME})
     target_compile_definitions(${NAME} PUBLIC CURRANTRING_VERSION="${PROJECT_VERSION}")
     target_link_libraries(${NAME} PUBLIC ${ARG_LIBRARIES})
+    currantring_use_precompiled(${NAME})
 endfunction()
 
 # Defines the program NAME from DIRECTORY/*.cpp.
@@ -24,6 +25,7 @@
     add_executable(${NAME} ${SOURCES})
     target_link_libraries(${NAME} PRIVATE ${ARG_LIBRARIES})
     target_compile_definitions(${NAME} PRIVATE CURRANTRING_CHARTS="${PROJECT_SOURCE_DIR}/charts")
+    currantring_use_precompiled(${NAME})
 endfunction()
 
 # Defines the program NAME from src/NAME/main.cpp, and from the rest of src/NAME/*.cpp the static library LIBRARY, so
@@ -40,6 +42,7 @@
     target_include_directories(${LIBRARY} PUBLIC ${PROJECT_SOURCE_DIR}/src/${NAME})
     target_compile_definitions(${LIBRARY} PRIVATE CURRANTRING_CHARTS="${PROJECT_SOURCE_DIR}/charts")
     target_link_libraries(${LIBRARY} PUBLIC ${ARG_LIBRARIES})
+    currantring_use_precompiled(${LIBRARY})
     if(NOT EXISTS ${PROJECT_SOURCE_DIR}/src/${NAME}/main.cpp)
         return()
     endif()
@@ -50,6 +53,7 @@
     endforeach()
     add_executable(${NAME} ${PROJECT_SOURCE_DIR}/src/${NAME}/main.cpp)
     target_link_libraries(${NAME} PRIVATE ${LIBRARY} ${ARG_PROGRAM_LIBRARIES})
+    currantring_use_precompiled(${NAME})
 endfunction()
 
 # Defines the one test program of NAME from tests/NAME/*.cpp; it tests the library NAME, or LIBRARY when it is given.
@@ -64,6 +68,9 @@
     endif()
     add_executable(test-${NAME} ${SOURCES})
     target_link_libraries(test-${NAME} PRIVATE ${ARG_LIBRARY} Boost::unit_test_framework)
+    target_precompile_headers(test-${NAME} REUSE_FROM precompiled-tests)
+    # It makes the framework define main().
+    set_source_files_properties(${PROJECT_SOURCE_DIR}/tests/${NAME}/main.cpp PROPERTIES SKIP_PRECOMPILE_HEADERS ON)
     target_compile_definitions(test-${NAME} PRIVATE
         BOOST_TEST_DYN_LINK
         CURRANTRING_CHARTS="${PROJECT_SOURCE_DIR}/charts"
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -160,7 +160,7 @@
         detail = std::strerror(errno);
         return nullptr;
     }
-    const auto connection = std::make_shared<Connection>();
+    auto connection = std::make_shared<Connection>();
     connection->id = ConnectionId(++lastConnection);
     connection->pool = &pool;
     const std::weak_ptr<Connection> weak = connection;
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -301,7 +301,7 @@
     m_d->limits = limits;
 }
 
-void HttpServer::respond(RequestToken token, HttpResponse response)
+void HttpServer::respond(RequestToken token, const HttpResponse &response)
 {
     const auto found = m_d->waiting.find(token);
     if (found == m_d->waiting.end()) {
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -58,7 +58,7 @@
     [[nodiscard]] Address listenAddress() const;
     void setLimits(const HttpServerLimits &limits);
     /** Sends the response to the request @p token; does nothing when its connection is gone. */
-    void respond(RequestToken token, HttpResponse response);
+    void respond(RequestToken token, const HttpResponse &response);
     /** From now on each response is the last on its connection, and connections are closed once idle for @p idle. */
     void wind(Milliseconds idle);
     [[nodiscard]] std::size_t connections() const;
