--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -79,6 +79,18 @@
     return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
 }
 
+std::uint32_t Job::failuresOf(const TaskRef &ref) const
+{
+    if (!spec->steps.at(ref.step.step).isGang) {
+        return task(ref)->failures;
+    }
+    std::uint32_t failures = 0;
+    for (const Task &member : occurrences.at(ref.step.occurrence).steps.at(ref.step.step).tasks) {
+        failures += member.failures;
+    }
+    return failures;
+}
+
 void Job::markDone(const TaskRef &ref)
 {
     Occurrence &occurrence = occurrences.at(ref.step.occurrence);
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -108,6 +108,8 @@
     /** Null when there is no such task. */
     [[nodiscard]] Task *task(const TaskRef &ref);
     [[nodiscard]] const Task *task(const TaskRef &ref) const;
+    /** Failed runs that count against the task: its own, or those of all members of its gang. */
+    [[nodiscard]] std::uint32_t failuresOf(const TaskRef &ref) const;
     /** Precondition: task() isn't null for @p ref and isn't done. */
     void markDone(const TaskRef &ref);
     /** The step's description, which lives as long as it is held. */
--- a/src/libjobs/jobcontext.cpp
+++ b/src/libjobs/jobcontext.cpp
@@ -36,6 +36,12 @@
     m_driver.callWorker(worker, address, std::move(order), timeout, std::move(then));
 }
 
+void JobContext::askAdmission(const StepRef &step, const std::vector<WorkerId> &workers, Milliseconds timeout,
+                              JobDriver::AdmissionHandler then)
+{
+    m_driver.askAdmission(step, workers, timeout, std::move(then));
+}
+
 void JobContext::sendPeer(const HostId &to, const JobMessage &message)
 {
     m_driver.sendPeer(to, message);
--- a/src/libjobs/jobcontext.h
+++ b/src/libjobs/jobcontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission.h"
 #include "callercall.h"
 #include "jobmessage.h"
 #include "kvrequest.h"
@@ -23,12 +24,17 @@
 {
     using KvHandler = std::function<void(const KvResult &)>;
     using WorkerHandler = std::function<void(const WorkerResult &)>;
+    using AdmissionHandler = std::function<void(const AdmissionResult &)>;
 
     /** Each handler runs once, later than the call that it was given to. */
     std::function<void(KvRequest request, Milliseconds timeout, KvHandler then)> callStore;
     std::function<void(const WorkerId &worker, const Address &address, WorkerOrder order, Milliseconds timeout,
                        WorkerHandler then)>
         callWorker;
+    /** Asks which of the workers may run a step of a queue that needs admission. */
+    std::function<void(const StepRef &step, const std::vector<WorkerId> &workers, Milliseconds timeout,
+                       AdmissionHandler then)>
+        askAdmission;
     /** Sends at most once; a message may be lost without notice. */
     std::function<void(const HostId &to, const JobMessage &message)> sendPeer;
     /** Tells the transport where a peer listens; nullopt closes the link. */
@@ -62,6 +68,8 @@
     void callStore(KvRequest request, Milliseconds timeout, JobDriver::KvHandler then);
     void callWorker(const WorkerId &worker, const Address &address, WorkerOrder order, Milliseconds timeout,
                     JobDriver::WorkerHandler then);
+    void askAdmission(const StepRef &step, const std::vector<WorkerId> &workers, Milliseconds timeout,
+                      JobDriver::AdmissionHandler then);
     void sendPeer(const HostId &to, const JobMessage &message);
     void linkPeer(const HostId &peer, const std::optional<Address> &address);
     void answerCaller(CallerToken caller, const CallAnswer &answer);
--- a/src/libjobs/jobtable.cpp
+++ b/src/libjobs/jobtable.cpp
@@ -62,16 +62,23 @@
             == 0) {
         return false;
     }
-    if (!record.checkpoint.value().empty()) {
-        task->checkpoint = record.checkpoint;
-    }
     Job &job = m_jobs.at(record.run.task.step.job);
-    const bool isLasting = job.spec->steps.at(record.run.task.step.step).isLasting;
+    const StepSpec &step = job.spec->steps.at(record.run.task.step.step);
     if (record.end == RunEnd::Failed) {
         ++task->failures;
     }
-    if (record.end == RunEnd::Done && !isLasting && !task->isDone) {
-        job.markDone(record.run.task);
+    // What one member of a gang saved or finished holds for all of them.
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        const TaskRef member { record.run.task.step, step.isGang ? index : record.run.task.index };
+        if (!record.checkpoint.value().empty()) {
+            job.task(member)->checkpoint = record.checkpoint;
+        }
+        if (record.end == RunEnd::Done && !step.isLasting && !job.task(member)->isDone) {
+            job.markDone(member);
+        }
+        if (!step.isGang) {
+            break;
+        }
     }
     slimDown(job);
     return true;
--- a/src/libjobs/readysteps.h
+++ b/src/libjobs/readysteps.h
@@ -15,6 +15,8 @@
     std::shared_ptr<const StepSpec> step;
     QueueName queue;
     std::set<std::uint32_t> tasks;
+    /** Since when some of the tasks have waited. */
+    TimePoint since {};
 };
 
 /** The tasks that may start and have no run, by step. */
@@ -23,11 +25,9 @@
 public:
     using Steps = std::map<StepRef, ReadyStep>;
 
-    void add(const TaskRef &task, const std::shared_ptr<const StepSpec> &step, const QueueName &queue)
+    void add(const TaskRef &task, const std::shared_ptr<const StepSpec> &step, const QueueName &queue, TimePoint now)
     {
-        ReadyStep &ready = m_steps[task.step];
-        ready.step = step;
-        ready.queue = queue;
+        ReadyStep &ready = m_steps.try_emplace(task.step, ReadyStep { step, queue, {}, now }).first->second;
         ready.tasks.insert(task.index);
     }
 
--- a/src/libjobs/rundirector.cpp
+++ b/src/libjobs/rundirector.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Milliseconds sweepInterval { 500 };
+/** Runs of one task at once, where copies are allowed. */
+constexpr std::size_t mostCopies = 2;
 
 RunEnd toRunEnd(ListedEnd end)
 {
@@ -38,41 +40,63 @@
     , m_context(context)
     , m_handlers(std::move(handlers))
     , m_fleet(options.token, options.timing, options.inheritedUntil, std::move(formats), context,
-              { [this](WorkerLink & /*link*/) { requestPass(); }, [this] { requestPass(); },
-                [this](WorkerLink & /*link*/) { requestPass(); },
+              { [this](WorkerLink & /*link*/) { m_starter.requestPass(); }, [this] { m_starter.requestPass(); },
+                [this](WorkerLink & /*link*/) { m_starter.requestPass(); },
                 [this](const WorkerId &worker) {
                     return linkHandlers(worker);
                 } })
     , m_pacer(m_neighbours)
     , m_placer(m_fleet, m_neighbours, m_health)
-    , m_watch(m_neighbours, m_placer, m_health,
-              { [this](const LiveRun &run) { return wishFor(run); },
-                [this](const LiveRun &run) {
-                    return awayBeside(run);
-                } })
+    , m_starter({ m_log, m_context, m_fleet, m_placer, m_health, m_queues },
+                [this](const WorkerId &worker, const LiveRun &run, std::string_view reason) {
+                    takeLoss(worker, run, reason);
+                })
+    , m_watch(m_neighbours, m_placer, m_health, watchSources())
 {
 }
 
 WorkerLink::Handlers RunDirector::linkHandlers(const WorkerId &worker)
 {
-    return { [this, worker](const LiveRun &run, ListedEnd end, const CheckpointId &checkpoint) {
-                takeEnd(worker, run, end, checkpoint);
-            },
-             [this, worker](const LiveRun &run, std::string_view reason) { takeLoss(worker, run, reason); },
-             [](const LiveRun & /*run*/) {},
-             [this, worker](const LiveRun &run, WorkerFailure failure) {
-                 takeLoss(worker, run, workerFailureName(failure));
-             },
-             [this, worker] { finishLook(worker); },
-             [this] { requestPass(); },
-             [this] { m_handlers.onFenced(); },
-             [this](const TaskRef &task) -> std::shared_ptr<const StepSpec> {
-                 const Job *const job = m_log.table().find(task.step.job);
-                 const bool isKnown = job != nullptr && task.step.step < job->spec->steps.size();
-                 return isKnown ? job->step(task.step.step) : nullptr;
-             },
-             [this] {
-                 return mayExtendLease();
+    WorkerLink::Handlers handlers;
+    handlers.onEnded = [this, worker](const LiveRun &run, ListedEnd end, const CheckpointId &checkpoint) {
+        takeEnd(worker, run, end, checkpoint);
+    };
+    handlers.onLost = [this, worker](const LiveRun &run, std::string_view reason) {
+        takeLoss(worker, run, reason);
+    };
+    handlers.onStarted = [](const LiveRun & /*run*/) {
+    };
+    handlers.onUnsettled = [this](const LiveRun &run) {
+        copyRun(run, "start-unsettled");
+    };
+    handlers.onRefused = [this, worker](const LiveRun &run, WorkerFailure failure) {
+        takeRefusal(worker, run, failure);
+    };
+    handlers.onLooked = [this, worker] {
+        finishLook(worker);
+    };
+    handlers.onReachability = [this, worker] {
+        takeReachability(worker);
+    };
+    handlers.onFenced = [this] {
+        m_handlers.onFenced();
+    };
+    handlers.describeRun = [this](const TaskRef &task) -> std::shared_ptr<const StepSpec> {
+        const Job *const job = m_log.table().find(task.step.job);
+        const bool isKnown = job != nullptr && task.step.step < job->spec->steps.size();
+        return isKnown ? job->step(task.step.step) : nullptr;
+    };
+    handlers.mayExtendLease = [this] {
+        return mayExtendLease();
+    };
+    return handlers;
+}
+
+RunWatch::Sources RunDirector::watchSources()
+{
+    return { [this](const LiveRun &run) { return m_starter.wishFor(run.ref.task, *run.step, run.queue); },
+             [this](const LiveRun &run) {
+                 return awayBeside(run);
              } };
 }
 
@@ -104,7 +128,7 @@
         run.ref = ref;
         run.step = job.step(ref.task.step.step);
         run.queue = job.spec->queue;
-        m_fleet.expect(placed->worker, placed->life).inherit(std::move(run), placed->life);
+        m_fleet.expect(placed->worker, placed->life).inherit(std::move(run));
     }
 }
 
@@ -119,6 +143,35 @@
             openStep(*job, occurrence, step);
         }
     }
+    if (job->spec->schedule) {
+        beginOccurrences(id);
+    }
+}
+
+/** Opens the occurrences that are due, and comes back for the next one. */
+void RunDirector::beginOccurrences(const JobId &id)
+{
+    const Job *job = m_log.table().find(id);
+    if (job == nullptr || job->isClosed() || job->occurrences.size() >= job->spec->occurrences()) {
+        return;
+    }
+    const JobSchedule &schedule = *job->spec->schedule;
+    const auto number = static_cast<std::uint32_t>(job->occurrences.size());
+    const Milliseconds left(schedule.first.value() + schedule.interval.count() * number - m_context.wallNow().value());
+    if (left.count() > 0) {
+        // The wall clock may step meanwhile.
+        m_context.schedule(std::min(left, sweepInterval), m_lifetime.guard([this, id] { beginOccurrences(id); }));
+        return;
+    }
+    m_log.table().beginOccurrence(id);
+    m_context.log(LogLevel::Info, events::occurrenceDue,
+                  { { "job", id.value() },
+                    { "occurrence", std::to_string(number) },
+                    { "late_ms", std::to_string(-left.count()) } });
+    for (std::uint32_t step = 0; step < job->spec->steps.size(); ++step) {
+        openStep(*job, number, step);
+    }
+    beginOccurrences(id);
 }
 
 void RunDirector::openStep(const Job &job, std::uint32_t occurrence, std::uint32_t step)
@@ -134,133 +187,38 @@
 void RunDirector::openTask(const Job &job, const TaskRef &ref)
 {
     const Task *const task = job.task(ref);
-    if (task->isDone || !task->runs.empty()) {
-        return;
+    if (!task->isDone && task->runs.empty()) {
+        m_starter.open(ref, job);
     }
-    m_ready.add(ref, job.step(ref.step.step), job.spec->queue);
-    requestPass();
 }
 
 void RunDirector::closeJob(const JobId &id)
 {
-    m_ready.removeJob(id);
+    m_starter.forgetJob(id);
+    m_watch.forgetJob(id);
+    m_health.forgetJob(id);
     const Job *const job = m_log.table().find(id);
     if (job == nullptr) {
         return;
     }
     for (const RunRef &run : job->liveRuns()) {
-        if (WorkerLink *const link = m_fleet.find(job->task(run.task)->run(run.number)->worker)) {
-            link->stop(run);
-        }
-    }
-}
-
-void RunDirector::reconsider()
-{
-    m_configuration = m_handlers.configuration();
-    if (m_configuration) {
-        for (const QueueEntry &queue : m_configuration->queues) {
-            m_queues.insert_or_assign(queue.name, queue);
-        }
-    }
-    requestPass();
-}
-
-const QueueEntry *RunDirector::queueOf(const QueueName &name) const
-{
-    const auto found = m_queues.find(name);
-    return found == m_queues.end() ? nullptr : &found->second;
-}
-
-void RunDirector::requestPass()
-{
-    if (!std::exchange(m_passRequested, true)) {
-        m_context.schedule(Milliseconds(0), m_lifetime.guard([this] {
-            m_passRequested = false;
-            pass();
-        }));
+        stopRun(run, job->task(run.task)->run(run.number)->worker);
     }
 }
 
-void RunDirector::pass()
+void RunDirector::stopRun(const RunRef &run, const WorkerId &worker)
 {
-    if (!m_fleet.isListed()) {
-        return;
-    }
-    std::vector<std::pair<JobUrgency, StepRef>> order;
-    for (const auto &[step, ready] : m_ready.steps()) {
-        if (const QueueEntry *const queue = queueOf(ready.queue)) {
-            const Job &job = *m_log.table().find(step.job);
-            order.emplace_back(urgencyOf(job, step.occurrence, *queue, m_context.wallNow()), step);
-        }
-    }
-    std::ranges::sort(order);
-    for (const auto &[urgency, step] : order) {
-        placeStep(step);
+    if (WorkerLink *const link = m_fleet.find(worker)) {
+        link->stop(run);
     }
 }
 
-void RunDirector::placeStep(const StepRef &step)
-{
-    const auto found = m_ready.steps().find(step);
-    if (found == m_ready.steps().end()) {
-        return;
-    }
-    const ReadyStep ready = found->second;
-    const QueueEntry *const queue = queueOf(ready.queue);
-    if (queue == nullptr) {
-        return;
-    }
-    for (const std::uint32_t index : ready.tasks) {
-        if (!placeTask({ step, index }, ready, *queue)) {
-            return;
-        }
-    }
-}
-
-bool RunDirector::placeTask(const TaskRef &ref, const ReadyStep &ready, const QueueEntry &queue)
-{
-    const Task *const task = m_log.table().find(ref.step.job)->task(ref);
-    const bool isLastAttempt = !ready.step->isLasting && task->failures > 0 && task->failures + 1 >= queue.attemptLimit;
-    WorkerLink *const link = m_placer.choose(
-        { ref.step, *ready.step, queue.service, m_health.failedOn(ref), isLastAttempt }, m_context.now());
-    if (link == nullptr) {
-        return false;
-    }
-    LiveRun run;
-    run.ref = { ref, RunNumber(task->lastRun.value() + 1) };
-    run.step = ready.step;
-    run.queue = ready.queue;
-    run.checkpoint = task->checkpoint;
-    const WorkerId worker = link->entry().id;
-    m_ready.remove(ref);
-    m_context.log(LogLevel::Info, events::runPlaced,
-                  { { "task", describe(ref) },
-                    { "run", std::to_string(run.ref.number.value()) },
-                    { "worker", worker.value() },
-                    { "image", ready.step->image.value() },
-                    { "held", std::to_string(link->held().processors.value()) },
-                    { "fill", std::to_string(link->fillerDemand().value()) } });
-    link->reserve(run);
-    m_log.append(RunPlaced { run.ref, worker, link->life() }, RecordUrgency::Urgent,
-                 m_lifetime.guard([this, started = run.ref, worker] { startRun(started, worker); }));
-    return true;
-}
-
-void RunDirector::startRun(const RunRef &run, const WorkerId &worker)
+void RunDirector::reconsider()
 {
-    WorkerLink *const link = m_fleet.find(worker);
-    const Job *const job = m_log.table().find(run.task.step.job);
-    if (link == nullptr || job == nullptr || !link->runs().contains(run)) {
-        return;
-    }
-    if (job->isClosed() || !link->isReachable()) {
-        const LiveRun live = link->runs().at(run);
-        link->release(run);
-        takeLoss(worker, live, job->isClosed() ? "job-closed" : "worker-silent");
-        return;
+    if (const auto configuration = m_handlers.configuration()) {
+        m_queues.take(*configuration);
     }
-    link->start(run, job->spec->payload, job->task(run.task)->checkpoint, {});
+    m_starter.requestPass();
 }
 
 void RunDirector::takeEnd(const WorkerId &worker, const LiveRun &run, ListedEnd end, const CheckpointId &checkpoint)
@@ -272,15 +230,17 @@
                     { "worker", worker.value() },
                     { "how", std::string(runEndName(toRunEnd(end))) },
                     { "after_ms", std::to_string((m_context.now() - run.placedAt).count()) } });
-    noteHealth(worker, run.ref.task, end);
+    noteHealth(worker, run, end);
     m_neighbours.noteEnded(*m_fleet.find(worker), run, m_context.now());
     recordEnd(run, toRunEnd(end), checkpoint);
 }
 
-void RunDirector::noteHealth(const WorkerId &worker, const TaskRef &task, ListedEnd end)
+void RunDirector::noteHealth(const WorkerId &worker, const LiveRun &run, ListedEnd end)
 {
+    const TaskRef &task = run.ref.task;
     if (end == ListedEnd::Done) {
         m_health.noteSuccess(worker);
+        m_watch.noteDone(run, m_context.now());
     } else if (end == ListedEnd::Failed && m_health.noteFailure(worker, task, m_context.now())) {
         m_context.log(LogLevel::Warning, events::workerQuarantined,
                       { { "worker", worker.value() }, { "task", describe(task) } });
@@ -298,12 +258,47 @@
     recordEnd(run, RunEnd::Lost, run.checkpoint);
 }
 
+void RunDirector::takeRefusal(const WorkerId &worker, const LiveRun &run, WorkerFailure failure)
+{
+    if (failure == WorkerFailure::NoAdmission) {
+        m_starter.dropTicket(run.ref, worker);
+    } else if (failure == WorkerFailure::Unhealthy) {
+        m_health.noteFailure(worker, run.ref.task, m_context.now());
+    }
+    takeLoss(worker, run, workerFailureName(failure));
+}
+
 void RunDirector::recordEnd(const LiveRun &run, RunEnd end, const CheckpointId &checkpoint)
 {
     if (m_log.append(RunEnded { run.ref, end, checkpoint }, RecordUrgency::Urgent)) {
+        stopOthers(*m_log.table().find(run.ref.task.step.job), run, end);
         continueJob(run.ref.task);
     }
-    requestPass();
+    m_starter.requestPass();
+}
+
+/** Stops the copies of a task that is done, and the rest of a gang that a member has left. */
+void RunDirector::stopOthers(const Job &job, const LiveRun &ended, RunEnd end)
+{
+    const TaskRef &ref = ended.ref.task;
+    const Task *const task = job.task(ref);
+    if (task == nullptr || job.isClosed()) {
+        return;
+    }
+    if (task->isDone) {
+        for (const PlacedRun &run : std::vector<PlacedRun>(task->runs)) {
+            stopRun({ ref, run.number }, run.worker);
+        }
+    }
+    if (!ended.step || !ended.step->isGang || end == RunEnd::Done) {
+        return;
+    }
+    for (std::uint32_t index = 0; index < ended.step->count; ++index) {
+        const TaskRef member { ref.step, index };
+        for (const PlacedRun &run : std::vector<PlacedRun>(job.task(member)->runs)) {
+            stopRun({ member, run.number }, run.worker);
+        }
+    }
 }
 
 void RunDirector::continueJob(const TaskRef &ref)
@@ -313,9 +308,9 @@
     if (job->isClosed() || task == nullptr) {
         return;
     }
-    const QueueEntry *const queue = queueOf(job->spec->queue);
+    const QueueEntry *const queue = m_queues.find(job->spec->queue);
     const bool isLasting = job->spec->steps.at(ref.step.step).isLasting;
-    if (!isLasting && queue != nullptr && !task->isDone && task->failures >= queue->attemptLimit) {
+    if (!isLasting && queue != nullptr && !task->isDone && job->failuresOf(ref) >= queue->attemptLimit) {
         close(ref.step.job, JobPhase::Failed);
         return;
     }
@@ -326,15 +321,18 @@
     m_health.forget(ref);
     if (job->isWholeDone()) {
         close(ref.step.job, JobPhase::Completed);
-        return;
-    }
-    if (!job->occurrences.at(ref.step.occurrence).steps.at(ref.step.step).isDone()) {
-        return;
+    } else if (job->occurrences.at(ref.step.occurrence).steps.at(ref.step.step).isDone()) {
+        m_watch.forgetStep(ref.step);
+        openLaterSteps(*job, ref.step);
     }
-    for (std::uint32_t later = ref.step.step + 1; later < job->spec->steps.size(); ++later) {
-        const std::vector<std::uint32_t> &after = job->spec->steps.at(later).after;
-        if (std::ranges::find(after, ref.step.step) != after.end()) {
-            openStep(*job, ref.step.occurrence, later);
+}
+
+void RunDirector::openLaterSteps(const Job &job, const StepRef &done)
+{
+    for (std::uint32_t later = done.step + 1; later < job.spec->steps.size(); ++later) {
+        const std::vector<std::uint32_t> &after = job.spec->steps.at(later).after;
+        if (std::ranges::find(after, done.step) != after.end()) {
+            openStep(job, done.occurrence, later);
         }
     }
 }
@@ -373,6 +371,17 @@
     }));
 }
 
+/** Work that may run twice needn't wait until a silent worker's lease is over. */
+void RunDirector::takeReachability(const WorkerId &worker)
+{
+    if (const WorkerLink *const link = m_fleet.find(worker); link != nullptr && !link->isReachable()) {
+        for (const auto &[ref, run] : link->runs()) {
+            copyRun(run, "worker-silent");
+        }
+    }
+    m_starter.requestPass();
+}
+
 void RunDirector::paceFillers(WorkerLink &link)
 {
     for (const PaceChange &change : m_pacer.decide(link, m_context.now())) {
@@ -385,10 +394,16 @@
     }
 }
 
-/** Stops runs that get on badly; they are placed again once their ends are listed. */
+/** Stops runs that get on badly, or has copies of them run; stopped ones are placed again once their ends are listed.
+ */
 void RunDirector::moveRuns(WorkerLink &link)
 {
     for (const RunMove &move : m_watch.decide(link, m_context.now())) {
+        const LiveRun &run = link.runs().at(move.run);
+        if (run.step->mayRunCopies) {
+            copyRun(run, move.reason);
+            continue;
+        }
         m_context.log(LogLevel::Info, events::runMoved,
                       { { "task", describe(move.run.task) },
                         { "run", std::to_string(move.run.number.value()) },
@@ -398,13 +413,30 @@
     }
 }
 
-std::optional<PlacementWish> RunDirector::wishFor(const LiveRun &run) const
+void RunDirector::copyRun(const LiveRun &run, std::string_view reason)
 {
-    const QueueEntry *const queue = queueOf(run.queue);
-    if (queue == nullptr) {
-        return std::nullopt;
+    const Job *const job = m_log.table().find(run.ref.task.step.job);
+    const Task *const task = job == nullptr ? nullptr : job->task(run.ref.task);
+    if (task == nullptr || !run.step || !run.step->mayRunCopies || job->isClosed() || task->isDone
+        || task->runs.size() >= mostCopies || m_starter.isOpen(run.ref.task)) {
+        return;
+    }
+    m_context.log(LogLevel::Info, events::runCopied,
+                  { { "task", describe(run.ref.task) }, { "reason", std::string(reason) } });
+    m_starter.open(run.ref.task, *job);
+}
+
+bool RunDirector::isAtWork(const TaskRef &task, const Task &state)
+{
+    if (state.runs.empty()) {
+        return false;
+    }
+    const WorkerLink *const link = m_fleet.find(state.runs.front().worker);
+    if (link == nullptr) {
+        return false;
     }
-    return PlacementWish { run.ref.task.step, *run.step, queue->service, m_health.failedOn(run.ref.task), false };
+    const auto run = link->runs().find(RunRef { task, state.runs.front().number });
+    return run != link->runs().end() && run->second.phase == RunPhase::Running && run->second.percent == 100;
 }
 
 std::uint32_t RunDirector::awayBeside(const LiveRun &run)
@@ -413,13 +445,7 @@
     std::uint32_t away = 0;
     for (std::uint32_t index = 0; job != nullptr && index < run.step->count; ++index) {
         const TaskRef task { run.ref.task.step, index };
-        const std::vector<PlacedRun> &runs = job->task(task)->runs;
-        const WorkerLink *const link = runs.empty() ? nullptr : m_fleet.find(runs.front().worker);
-        const auto live = link == nullptr ? std::map<RunRef, LiveRun>::const_iterator()
-                                          : link->runs().find(RunRef { task, runs.front().number });
-        const bool isAtWork = link != nullptr && live != link->runs().end() && live->second.phase == RunPhase::Running
-            && live->second.percent == 100;
-        away += isAtWork ? 0 : 1;
+        away += isAtWork(task, *job->task(task)) ? 0 : 1;
     }
     return away;
 }
@@ -428,7 +454,7 @@
 {
     m_neighbours.forgetOld(m_context.now());
     // Rooms for fillers open and close as loads swing, without an event of their own.
-    requestPass();
+    m_starter.requestPass();
     m_context.schedule(sweepInterval, m_lifetime.guard([this] { sweep(); }));
 }
 
--- a/src/libjobs/rundirector.h
+++ b/src/libjobs/rundirector.h
@@ -2,10 +2,10 @@
 
 #include "fillerpacer.h"
 #include "joblog.h"
-#include "joburgency.h"
 #include "neighbourmodel.h"
-#include "readysteps.h"
+#include "queuebook.h"
 #include "runplacer.h"
+#include "runstarter.h"
 #include "runwatch.h"
 #include "siteconfiguration.h"
 #include "workerfleet.h"
@@ -59,27 +59,29 @@
 
 private:
     WorkerLink::Handlers linkHandlers(const WorkerId &worker);
+    RunWatch::Sources watchSources();
     void inheritRuns(const Job &job);
     void openStep(const Job &job, std::uint32_t occurrence, std::uint32_t step);
     void openTask(const Job &job, const TaskRef &task);
-    void requestPass();
-    void pass();
-    void placeStep(const StepRef &step);
-    bool placeTask(const TaskRef &ref, const ReadyStep &ready, const QueueEntry &queue);
-    void startRun(const RunRef &run, const WorkerId &worker);
+    void openLaterSteps(const Job &job, const StepRef &done);
+    void beginOccurrences(const JobId &job);
     void takeEnd(const WorkerId &worker, const LiveRun &run, ListedEnd end, const CheckpointId &checkpoint);
     void takeLoss(const WorkerId &worker, const LiveRun &run, std::string_view reason);
-    void noteHealth(const WorkerId &worker, const TaskRef &task, ListedEnd end);
+    void takeRefusal(const WorkerId &worker, const LiveRun &run, WorkerFailure failure);
+    void noteHealth(const WorkerId &worker, const LiveRun &run, ListedEnd end);
     void recordEnd(const LiveRun &run, RunEnd end, const CheckpointId &checkpoint);
+    void stopOthers(const Job &job, const LiveRun &ended, RunEnd end);
     void continueJob(const TaskRef &task);
     void finishLook(const WorkerId &worker);
+    void takeReachability(const WorkerId &worker);
     void paceFillers(WorkerLink &link);
     void moveRuns(WorkerLink &link);
-    [[nodiscard]] std::optional<PlacementWish> wishFor(const LiveRun &run) const;
-    [[nodiscard]] std::uint32_t awayBeside(const LiveRun &run);
+    void copyRun(const LiveRun &run, std::string_view reason);
     void sweep();
+    [[nodiscard]] std::uint32_t awayBeside(const LiveRun &run);
+    [[nodiscard]] bool isAtWork(const TaskRef &task, const Task &state);
+    void stopRun(const RunRef &run, const WorkerId &worker);
     void close(const JobId &job, JobPhase phase);
-    [[nodiscard]] const QueueEntry *queueOf(const QueueName &name) const;
     [[nodiscard]] bool mayExtendLease() const;
 
     Options m_options;
@@ -87,18 +89,15 @@
     JobContext &m_context;
     Handlers m_handlers;
     Lifetime m_lifetime;
-    std::shared_ptr<const SiteConfiguration> m_configuration;
-    /** The last known entry of each queue, also of one that the configuration has dropped. */
-    std::map<QueueName, QueueEntry> m_queues;
+    QueueBook m_queues;
     WorkerFleet m_fleet;
     NeighbourModel m_neighbours;
     WorkerHealth m_health;
     FillerPacer m_pacer;
     RunPlacer m_placer;
+    RunStarter m_starter;
     RunWatch m_watch;
-    ReadySteps m_ready;
     std::set<JobId> m_closing;
-    bool m_passRequested = false;
     /** Whether ends were told in the look that is being taken in. */
     bool m_hasNewEnds = false;
 };
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -26,6 +26,8 @@
 /** What stress beyond a target at peak load weighs, and the coefficient of a pair. */
 constexpr double excessWeight = 10;
 constexpr double coefficientWeight = 1.5;
+/** What it costs to be away from the data or the other tasks of the step. */
+constexpr double farCost = 5;
 constexpr double mixingCost = 2;
 constexpr double emptyCost = 0.5;
 constexpr double disturbedWeight = 5;
@@ -63,21 +65,67 @@
 WorkerLink *RunPlacer::choose(const PlacementWish &wish, TimePoint now) const
 {
     WorkerLink *best = nullptr;
-    double bestCost = 0;
+    double bestPrice = 0;
     for (const auto &[id, link] : m_fleet.links()) {
-        if (!mayTake(*link, wish)) {
-            continue;
-        }
-        const std::optional<double> risk = riskCost(*link, wish, now);
-        const std::optional<double> load = risk ? cost(*link, wish) : std::nullopt;
-        if (load && (best == nullptr || *risk + *load < bestCost)) {
+        const std::optional<double> linkPrice = price(*link, wish, now);
+        if (linkPrice && (best == nullptr || *linkPrice < bestPrice)) {
             best = link.get();
-            bestCost = *risk + *load;
+            bestPrice = *linkPrice;
         }
     }
     return best;
 }
 
+std::vector<WorkerId> RunPlacer::candidates(const PlacementWish &wish, std::size_t most, TimePoint now) const
+{
+    std::vector<std::pair<double, WorkerId>> priced;
+    for (const auto &[id, link] : m_fleet.links()) {
+        if (const std::optional<double> linkPrice = price(*link, wish, now)) {
+            priced.emplace_back(*linkPrice, id);
+        }
+    }
+    std::ranges::sort(priced);
+    std::vector<WorkerId> workers;
+    for (std::size_t index = 0; index < std::min(most, priced.size()); ++index) {
+        workers.push_back(priced[index].second);
+    }
+    return workers;
+}
+
+std::vector<Label> RunPlacer::racks(const ServiceName &service) const
+{
+    std::map<Label, std::int64_t> free;
+    for (const auto &[id, link] : m_fleet.links()) {
+        if (link->entry().service == service && m_fleet.takesWork(*link)) {
+            free[link->entry().rack] += (link->entry().capacity.processors.value() - link->held().processors.value());
+        }
+    }
+    std::vector<std::pair<std::int64_t, Label>> sorted;
+    for (const auto &[rack, processors] : free) {
+        sorted.emplace_back(-processors, rack);
+    }
+    std::ranges::sort(sorted);
+    std::vector<Label> racks;
+    for (const auto &[processors, rack] : sorted) {
+        racks.push_back(rack);
+    }
+    return racks;
+}
+
+std::optional<double> RunPlacer::price(const WorkerLink &link, const PlacementWish &wish, TimePoint now) const
+{
+    if (!mayTake(link, wish)) {
+        return std::nullopt;
+    }
+    const std::optional<double> risk = riskCost(link, wish, now);
+    const std::optional<double> load = risk ? cost(link, wish) : std::nullopt;
+    if (!load) {
+        return std::nullopt;
+    }
+    const bool isFar = !wish.rack.value().empty() && !link.entry().hasLabel(wish.rack);
+    return *risk + *load + (isFar ? farCost : 0);
+}
+
 bool RunPlacer::hasOther(const PlacementWish &wish, const WorkerLink &present, double mostCost, TimePoint now) const
 {
     const WorkerLink *const other = choose(wish, now);
@@ -108,6 +156,13 @@
     if (!step.requiredLabel.value().empty() && !entry.hasLabel(step.requiredLabel)) {
         return false;
     }
+    if (wish.isRackNeeded && !entry.hasLabel(wish.rack)) {
+        return false;
+    }
+    if (std::ranges::find(wish.taken, entry.id) != wish.taken.end()
+        || (wish.isAdmitted && !wish.isAdmitted(entry.id))) {
+        return false;
+    }
     Resources need = step.need;
     if (step.isFiller) {
         need.processors = Millicores(0);
--- a/src/libjobs/runwatch.cpp
+++ b/src/libjobs/runwatch.cpp
@@ -21,6 +21,9 @@
 /** A lasting task that isn't at work so long after its start won't be. */
 constexpr Milliseconds startPatience { 3000 };
 constexpr std::size_t movesAtOnce = 2;
+/** A copy pays where the rest of a run takes longer than a whole one elsewhere, by this factor. */
+constexpr std::int64_t stragglerFactor = 1;
+constexpr std::size_t tellingDurations = 2;
 /** What the new place may cost at most; what can't go on here takes any. */
 constexpr double goodCost = 1.5;
 constexpr double anyCost = 1000;
@@ -101,6 +104,9 @@
     if (isStalled(run, now)) {
         return "stalled";
     }
+    if (isStraggler(run, now)) {
+        return "straggler";
+    }
     const bool isHalted = run.isFiller() && run.pace <= haltedPace && now - run.pacedAt >= haltedPatience;
     return isHalted && isKept ? "halted" : "";
 }
@@ -114,6 +120,38 @@
     return now - std::max(run.progressAt, run.pacedAt) > std::max(stallPatience, perPercent * stallPercents);
 }
 
+/** Whether a task that may run twice takes much longer than the others of its step did. */
+bool RunWatch::isStraggler(const LiveRun &run, TimePoint now) const
+{
+    const auto known = m_durations.find(run.ref.task.step);
+    if (!run.step->mayRunCopies || known == m_durations.end() || known->second.size() < tellingDurations) {
+        return false;
+    }
+    std::vector<Milliseconds> durations = known->second;
+    std::ranges::sort(durations);
+    const Milliseconds median = durations[durations.size() / 2];
+    const Milliseconds age = now - run.settledAt.value_or(now);
+    const Milliseconds whole = age * 100 / std::max(run.percent, 1U);
+    return age > median && whole - age > median * stragglerFactor;
+}
+
+void RunWatch::noteDone(const LiveRun &run, TimePoint now)
+{
+    if (run.settledAt && run.step->count > 1) {
+        m_durations[run.ref.task.step].push_back(now - *run.settledAt);
+    }
+}
+
+void RunWatch::forgetStep(const StepRef &step)
+{
+    m_durations.erase(step);
+}
+
+void RunWatch::forgetJob(const JobId &job)
+{
+    std::erase_if(m_durations, [&job](const auto &entry) { return entry.first.job == job; });
+}
+
 bool RunWatch::mayMove(const LiveRun &run) const
 {
     return run.step->mayMiss == 0 || !isAtWork(run) || m_sources.awayBeside(run) < run.step->mayMiss;
--- a/src/libjobs/runwatch.h
+++ b/src/libjobs/runwatch.h
@@ -41,6 +41,10 @@
 
     /** The runs to move after a report of @p link; few at a time. */
     std::vector<RunMove> decide(const WorkerLink &link, TimePoint now);
+    /** A run ended well; how long it took tells what its step's other tasks should take. */
+    void noteDone(const LiveRun &run, TimePoint now);
+    void forgetStep(const StepRef &step);
+    void forgetJob(const JobId &job);
 
 private:
     [[nodiscard]] bool isUnsound(const WorkerLink &link, TimePoint now);
@@ -48,6 +52,7 @@
                                                 TimePoint now) const;
     [[nodiscard]] bool mayMove(const LiveRun &run) const;
     [[nodiscard]] static bool isStalled(const LiveRun &run, TimePoint now);
+    [[nodiscard]] bool isStraggler(const LiveRun &run, TimePoint now) const;
 
     const NeighbourModel &m_neighbours;
     const RunPlacer &m_placer;
@@ -55,6 +60,8 @@
     Sources m_sources;
     /** Since when a worker's serving tasks have answered far too slowly. */
     std::map<WorkerId, TimePoint> m_slowSince;
+    /** How long the tasks of a step took. */
+    std::map<StepRef, std::vector<Milliseconds>> m_durations;
 };
 
 } // namespace currantring
--- a/src/libjobs/siteconfiguration.h
+++ b/src/libjobs/siteconfiguration.h
@@ -27,7 +27,7 @@
     double stretch = 1;
     Milliseconds targetLatency {};
     Milliseconds timeout {};
-    /** Each call for admission takes the decision time and the time per worker; a ticket is valid for a while. */
+    /** The queue's policy admits each step to some workers only. */
     bool needsAdmission = false;
 };
 
--- a/src/libjobs/workerhealth.cpp
+++ b/src/libjobs/workerhealth.cpp
@@ -64,6 +64,11 @@
     m_failedOn.erase(task);
 }
 
+void WorkerHealth::forgetJob(const JobId &job)
+{
+    std::erase_if(m_failedOn, [&job](const auto &entry) { return entry.first.step.job == job; });
+}
+
 bool WorkerHealth::isQuarantined(const WorkerId &worker, TimePoint now) const
 {
     const auto found = m_records.find(worker);
--- a/src/libjobs/workerhealth.h
+++ b/src/libjobs/workerhealth.h
@@ -28,6 +28,7 @@
     [[nodiscard]] const std::set<WorkerId> *failedOn(const TaskRef &task) const;
     /** The task is over. */
     void forget(const TaskRef &task);
+    void forgetJob(const JobId &job);
 
     [[nodiscard]] bool isQuarantined(const WorkerId &worker, TimePoint now) const;
     /** Whether the worker has to show itself before it takes more than one task. */
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -86,12 +86,11 @@
     return run;
 }
 
-void WorkerLink::inherit(LiveRun run, WorkerLife life)
+void WorkerLink::inherit(LiveRun run)
 {
+    // One that never began, or began in an earlier life, is found absent by the first look.
     run.phase = RunPhase::Inherited;
     run.placedAt = m_context.now();
-    // A run of an earlier life is found absent by the first look, as one that never began is.
-    static_cast<void>(life);
     hold(run, 1);
     m_runs.emplace(run.ref, std::move(run));
 }
@@ -150,6 +149,7 @@
         if (live.phase == RunPhase::Starting) {
             live.phase = RunPhase::Unsettled;
             sendStop(run);
+            m_handlers.onUnsettled(live);
         }
         return;
     }
@@ -252,7 +252,7 @@
     }
     ++m_round;
     m_context.callWorker(
-        m_entry.id, m_entry.address, std::move(look), wait + lookMargin,
+        m_entry.id, m_entry.address, look, wait + lookMargin,
         m_lifetime.guard([this, round = m_round, sentAt = m_context.now()](const WorkerResult &result) {
             if (round == m_round) {
                 handleLook(sentAt, result);
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -49,6 +49,8 @@
         /** The run surely doesn't run and didn't end by itself; it is gone from runs(). */
         std::function<void(const LiveRun &run, std::string_view reason)> onLost;
         std::function<void(const LiveRun &run)> onStarted;
+        /** The order to start the run got no answer; the worker is asked to stop it. */
+        std::function<void(const LiveRun &run)> onUnsettled;
         /** The worker refused to start the run, which is gone from runs(). */
         std::function<void(const LiveRun &run, WorkerFailure failure)> onRefused;
         /** A look was answered, and its ends were told. The owner acknowledges them once they are on record. */
@@ -77,8 +79,8 @@
     /** Whether the platform's list still names the worker. */
     void setListed(bool isListed);
 
-    /** Adds a run that an earlier writer placed in @p life. */
-    void inherit(LiveRun run, WorkerLife life);
+    /** Adds a run that an earlier writer placed; in an earlier life, perhaps. */
+    void inherit(LiveRun run);
     /** Takes room for @p run, whose placement is being recorded. */
     void reserve(LiveRun run);
     /** Gives the room of a reserved run back; nothing was ordered. */
--- a/tests/libjobs/sitejudge.cpp
+++ b/tests/libjobs/sitejudge.cpp
@@ -14,6 +14,16 @@
     m_workers.insert_or_assign(entry.id, entry);
 }
 
+void SiteJudge::noteWallStart(WallTime start)
+{
+    m_wallStart = start;
+}
+
+void SiteJudge::noteClockSteps(Milliseconds most)
+{
+    m_bounds.early += most;
+}
+
 void SiteJudge::noteSubmission(const std::shared_ptr<const JobSpec> &spec)
 {
     m_jobs[spec->id].spec = spec;
@@ -33,6 +43,7 @@
             task.doneRuns.emplace(fact.run, false);
         }
         task.failed += fact.end == ListedEnd::Failed ? 1 : 0;
+        m_membersLeftAlone += fact.end == ListedEnd::Alone ? 1 : 0;
         break;
     case WorkerFact::Kind::Acknowledged:
         if (fact.isLapsed) {
@@ -78,13 +89,53 @@
     for (auto &[done, isFollowed] : task.doneRuns) {
         isFollowed = isFollowed || (!step.mayRunCopies && !step.isLasting);
     }
-    if (!step.isLasting && task.acknowledgedFailures >= attemptLimit(spec)) {
+    if (!step.isLasting && failuresOf(fact.run.task, step) >= attemptLimit(spec)) {
         violation("BUDGET", fact.at, name + " starts after its last attempt");
     }
     task.running.emplace(fact.run, fact.worker);
     checkPlace(fact, step, spec);
     checkRoom(fact);
     checkOrder(fact, step);
+    checkDue(fact, spec);
+}
+
+/** Failures that are taken note of: the task's own, or those of its whole gang. */
+std::uint32_t SiteJudge::failuresOf(const TaskRef &task, const StepSpec &step)
+{
+    std::uint32_t failures = 0;
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        if (step.isGang || index == task.index) {
+            failures += m_tasks[{ task.step, index }].acknowledgedFailures;
+        }
+    }
+    return failures;
+}
+
+void SiteJudge::checkDue(const WorkerFact &fact, const JobSpec &spec)
+{
+    if (!spec.schedule) {
+        return;
+    }
+    const std::int64_t due =
+        spec.schedule->first.value() + spec.schedule->interval.count() * fact.run.task.step.occurrence;
+    const std::int64_t now = m_wallStart.value() + fact.at.time_since_epoch().count();
+    if (now < due - m_bounds.early.count()) {
+        violation("ORDER", fact.at, describe(fact.run.task) + " starts before its time");
+    }
+}
+
+void SiteJudge::checkCompleted(const JobSpec &spec, TimePoint at)
+{
+    for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < spec.steps.at(step).count; ++index) {
+                if (!m_tasks[{ { spec.id, occurrence, step }, index }].isDone) {
+                    violation("MIXED", at, spec.id.value() + " is shown as completed too early");
+                    return;
+                }
+            }
+        }
+    }
 }
 
 void SiteJudge::checkPlace(const WorkerFact &fact, const StepSpec &step, const JobSpec &job)
@@ -170,14 +221,7 @@
     } else if (answer.outcome == CallOutcome::Unknown && truth.acceptedAt && *truth.acceptedAt < sentAt) {
         violation("LOST", at, job->first.value() + " is said not to exist");
     } else if (answer.outcome == CallOutcome::Found && answer.phase == JobPhase::Completed) {
-        for (std::uint32_t step = 0; step < truth.spec->steps.size(); ++step) {
-            for (std::uint32_t index = 0; index < truth.spec->steps.at(step).count; ++index) {
-                if (!m_tasks[{ { job->first, 0, step }, index }].isDone) {
-                    violation("MIXED", at, job->first.value() + " is shown as completed too early");
-                    return;
-                }
-            }
-        }
+        checkCompleted(*truth.spec, at);
     } else if (answer.outcome == CallOutcome::Found && answer.phase == JobPhase::Cancelled && !truth.cancelledAt
                && !truth.cancelSentAt) {
         violation("LOST", at, job->first.value() + " is shown as cancelled, and nobody did");
@@ -234,6 +278,11 @@
     return m_starts;
 }
 
+std::size_t SiteJudge::membersLeftAlone() const
+{
+    return m_membersLeftAlone;
+}
+
 std::uint32_t SiteJudge::startsOf(const TaskRef &task) const
 {
     const auto found = m_tasks.find(task);
--- a/tests/libjobs/sitejudge.h
+++ b/tests/libjobs/sitejudge.h
@@ -25,10 +25,15 @@
     {
         Milliseconds cancel { 3000 };
         Milliseconds noted { 1000 };
+        Milliseconds early { 250 };
     };
 
     void noteConfiguration(const SiteConfiguration &configuration);
     void noteWorker(const WorkerEntry &entry);
+    /** The time of day at which the virtual clock stood at 0. */
+    void noteWallStart(WallTime start);
+    /** The hosts' clocks jump by so much at most. */
+    void noteClockSteps(Milliseconds most);
     /** All that ran on a worker is gone with it. */
     void noteFact(const WorkerFact &fact);
     void noteSubmission(const std::shared_ptr<const JobSpec> &spec);
@@ -43,6 +48,8 @@
     [[nodiscard]] std::size_t starts() const;
     /** Runs that were started of one task. */
     [[nodiscard]] std::uint32_t startsOf(const TaskRef &task) const;
+    /** Members of gangs whose others didn't come in time. */
+    [[nodiscard]] std::size_t membersLeftAlone() const;
 
 private:
     struct TaskTruth
@@ -69,6 +76,9 @@
     void checkPlace(const WorkerFact &fact, const StepSpec &step, const JobSpec &job);
     void checkRoom(const WorkerFact &fact);
     void checkOrder(const WorkerFact &fact, const StepSpec &step);
+    void checkDue(const WorkerFact &fact, const JobSpec &spec);
+    void checkCompleted(const JobSpec &spec, TimePoint at);
+    [[nodiscard]] std::uint32_t failuresOf(const TaskRef &task, const StepSpec &step);
     void violation(const std::string &rule, TimePoint at, const std::string &what);
     [[nodiscard]] std::uint32_t attemptLimit(const JobSpec &spec) const;
 
@@ -78,6 +88,8 @@
     std::map<JobId, JobTruth> m_jobs;
     std::map<TaskRef, TaskTruth> m_tasks;
     std::size_t m_starts = 0;
+    std::size_t m_membersLeftAlone = 0;
+    WallTime m_wallStart;
     std::vector<std::string> m_violations;
 };
 
--- a/tests/libjobs/testfaults.cpp
+++ b/tests/libjobs/testfaults.cpp
@@ -13,6 +13,7 @@
 constexpr Milliseconds workTime { 8000 };
 constexpr Milliseconds finishTime { 40'000 };
 constexpr std::uint64_t jobs = 24;
+constexpr Milliseconds clockStep { 3000 };
 
 /** A fault that a test throws while work goes on, and how it ends. */
 struct FaultCase
@@ -205,7 +206,7 @@
         { "wall clocks jump",
           [](VirtualSite &site) {
               for (const HostId &host : site.hosts()) {
-                  site.stepWallClock(host, Milliseconds(host == site.hosts().front() ? 3000 : -2000));
+                  site.stepWallClock(host, host == site.hosts().front() ? clockStep : Milliseconds(-2000));
               }
           },
           nothing },
@@ -220,7 +221,10 @@
     return wanted != nullptr && context.starts_with(wanted);
 }
 
-void strikeAndCheck(const FaultCase &fault, const FaultCase *second, Milliseconds moment, std::uint64_t seed)
+enum class Work { Mixture, RareKinds };
+
+void strikeAndCheck(const FaultCase &fault, const FaultCase *second, Milliseconds moment, std::uint64_t seed,
+                    Work work = Work::Mixture)
 {
     VirtualSiteOptions options;
     options.seed = seed;
@@ -231,7 +235,12 @@
     site.record(isTraced(context));
     VirtualCustomers customers(site, seed);
     site.run(startTime);
-    customers.submitMixture(jobs, workTime);
+    site.judge().noteClockSteps(clockStep);
+    if (work == Work::Mixture) {
+        customers.submitMixture(jobs, workTime);
+    } else {
+        customers.submitRareKinds(jobs, workTime);
+    }
     for (const FaultCase *thrown : { &fault, second }) {
         if (thrown == nullptr) {
             continue;
@@ -245,7 +254,7 @@
         std::cout << line << '\n';
     }
     for (const std::string &violation : site.judge().violations()) {
-        BOOST_ERROR(context + ": " + violation);
+        BOOST_ERROR(context << ": " << violation);
     }
 }
 
@@ -264,6 +273,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(rareKindsOfJobs)
+{
+    for (const FaultCase &fault : faults()) {
+        for (const std::int64_t moment : { 700, 2500, 4000 }) {
+            for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+                strikeAndCheck(fault, nullptr, Milliseconds(moment), seed, Work::RareKinds);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(pairsTogether)
 {
     std::uint64_t seed = 100;
--- a/tests/libjobs/virtualcustomers.cpp
+++ b/tests/libjobs/virtualcustomers.cpp
@@ -136,4 +136,35 @@
     }
 }
 
+void VirtualCustomers::submitRareKinds(std::uint64_t jobs, Milliseconds duration)
+{
+    const std::uint64_t first = m_jobs.size() + 1;
+    for (std::uint64_t number = first; number < first + jobs; ++number) {
+        const Milliseconds delay(
+            static_cast<std::int64_t>(uniformBelow(m_random, static_cast<std::uint64_t>(duration.count()))));
+        const auto width = 2 + static_cast<std::uint32_t>(uniformBelow(m_random, 3));
+        JobSpec spec;
+        switch (number % 4) {
+        case 0:
+            spec = gangJob(number, width);
+            break;
+        case 1:
+            spec = copiedJob(number, width);
+            break;
+        case 2:
+            spec = admittedJob(number, width);
+            break;
+        default:
+            spec = repeatedJob(number, WallTime(m_site.wallNow().value() + delay.count() + 800));
+        }
+        if (uniformBelow(m_random, 4) == 0) {
+            spec = withPayload(spec, "fail=1");
+        }
+        submit(spec, delay);
+        if (uniformBelow(m_random, 6) == 0) {
+            cancel(spec.id, delay + Milliseconds(static_cast<std::int64_t>(uniformBelow(m_random, 2000))));
+        }
+    }
+}
+
 } // namespace currantring
--- a/tests/libjobs/virtualcustomers.h
+++ b/tests/libjobs/virtualcustomers.h
@@ -25,6 +25,8 @@
     void finish(Milliseconds limit);
     /** A mixture of batch, urgent, lasting, failing and cancelled jobs over @p duration. */
     void submitMixture(std::uint64_t jobs, Milliseconds duration);
+    /** Gangs, steps that may run copies, steps that need admission, and jobs that repeat. */
+    void submitRareKinds(std::uint64_t jobs, Milliseconds duration);
 
 private:
     void trySubmit(const std::shared_ptr<const JobSpec> &spec, TimePoint until);
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds removalDelay { 100 };
 /** How long after its silence a worker's entry is removed. */
 constexpr Milliseconds listSilence { 3300 };
+constexpr Milliseconds admissionTime { 50 };
+constexpr Milliseconds admissionValidity { 3000 };
 constexpr std::int64_t wallStart = 1'700'000'000'000;
 
 /** The test's own forms of the entries: the index of the thing, which the decoders look up. */
@@ -70,7 +72,7 @@
 };
 
 VirtualSite::VirtualSite(VirtualSiteOptions options)
-    : m_options(std::move(options))
+    : m_options(options)
     , m_random(m_options.seed)
 {
     m_configuration.version = ConfigurationVersion(1);
@@ -86,6 +88,12 @@
         queue.stretch = 2;
         m_configuration.queues.push_back(queue);
     }
+    QueueEntry admitted = m_configuration.queues.back();
+    admitted.name = QueueName("admitted");
+    admitted.prefix = "/admitted/";
+    admitted.needsAdmission = true;
+    m_configuration.queues.push_back(admitted);
+    m_judge.noteWallStart(WallTime(wallStart));
     configure(m_configuration);
     for (int index = 0; index < m_options.workers; ++index) {
         WorkerEntry entry;
@@ -98,8 +106,8 @@
         entry.capacity = m_options.capacity;
         auto made = std::make_unique<Place>();
         const Milliseconds offset(static_cast<std::int64_t>(uniformBelow(m_random, 100'000)));
-        made->worker = std::make_unique<VirtualWorker>(entry, m_now, offset,
-                                                       [this](const WorkerFact &fact) { m_judge.noteFact(fact); });
+        made->worker =
+            std::make_unique<VirtualWorker>(entry, m_now, offset, [this](const WorkerFact &fact) { noteFact(fact); });
         m_judge.noteWorker(entry);
         m_places.push_back(std::move(made));
         listWorker(entry.id, true);
@@ -161,6 +169,20 @@
                                                const JobDriver::WorkerHandler &then) {
         callWorker(host, process, worker, order, timeout, then);
     };
+    driver.askAdmission = [this, &host, process](const StepRef &step, const std::vector<WorkerId> &workers,
+                                                 Milliseconds, const JobDriver::AdmissionHandler &then) {
+        at(m_now + admissionTime, [this, &host, process, step, workers, then] {
+            AdmissionAnswer answer;
+            answer.validity = admissionValidity;
+            for (const WorkerId &worker : workers) {
+                const WorkerEntry &entry = place(worker).worker->entry();
+                if (mayAdmit(step, entry)) {
+                    answer.tickets.emplace(worker, ticketFor(step, entry));
+                }
+            }
+            deliver(host, process, [then, answer] { then(answer); });
+        });
+    };
     driver.sendPeer = [this, &host](const HostId &to, const JobMessage &message) {
         sendPeer(host, to, message);
     };
@@ -189,6 +211,43 @@
     return driver;
 }
 
+void VirtualSite::noteFact(const WorkerFact &fact)
+{
+    m_judge.noteFact(fact);
+    if (fact.kind != WorkerFact::Kind::Ended || !fact.isMember || fact.end == ListedEnd::Broken) {
+        return;
+    }
+    const GangRef gang { fact.run.task.step, fact.run.number };
+    const ListedEnd others = fact.end == ListedEnd::Done ? ListedEnd::Done : ListedEnd::Broken;
+    at(m_now, [this, gang, others] {
+        for (const auto &known : m_places) {
+            known->worker->endGang(gang, others, m_now);
+        }
+    });
+}
+
+/** Lets the gangs work whose members are all there. */
+void VirtualSite::settleGangs()
+{
+    std::map<GangRef, std::pair<std::size_t, std::size_t>> gangs;
+    for (const auto &known : m_places) {
+        if (!known->isDown) {
+            for (const auto &[run, size] : known->worker->waitingMembers()) {
+                auto &[present, wanted] = gangs[{ run.task.step, run.number }];
+                ++present;
+                wanted = size;
+            }
+        }
+    }
+    for (const auto &[gang, count] : gangs) {
+        for (const auto &known : m_places) {
+            if (count.first == count.second && !known->isDown) {
+                known->worker->beginGang(gang, m_now);
+            }
+        }
+    }
+}
+
 void VirtualSite::log(const Host &host, const LogEvent &event)
 {
     ++m_logCounts[event.name];
@@ -400,6 +459,7 @@
             known->worker->advance(m_now);
         }
     }
+    settleGangs();
     m_store.advance(m_now);
     settle();
     for (std::size_t index = 0; index < m_hosts.size(); ++index) {
@@ -460,6 +520,11 @@
     return m_now;
 }
 
+WallTime VirtualSite::wallNow() const
+{
+    return WallTime(wallStart + m_now.time_since_epoch().count());
+}
+
 std::size_t VirtualSite::send(const HostId &id, CallerCall call)
 {
     Host &host = find(id);
@@ -797,6 +862,36 @@
     return spec;
 }
 
+JobSpec gangJob(std::uint64_t number, std::uint32_t width)
+{
+    JobSpec spec = withPayload(batchJob(number, 1, width), "gang=" + std::to_string(width));
+    spec.steps.front().isGang = true;
+    return spec;
+}
+
+JobSpec copiedJob(std::uint64_t number, std::uint32_t width)
+{
+    JobSpec spec = batchJob(number, 2, width);
+    for (StepSpec &step : spec.steps) {
+        step.mayRunCopies = true;
+    }
+    return spec;
+}
+
+JobSpec admittedJob(std::uint64_t number, std::uint32_t width)
+{
+    JobSpec spec = withPayload(batchJob(number, 2, width), "ticket=1");
+    spec.queue = QueueName("admitted");
+    return spec;
+}
+
+JobSpec repeatedJob(std::uint64_t number, WallTime first, Milliseconds interval)
+{
+    JobSpec spec = batchJob(number, 2, 2);
+    spec.schedule = JobSchedule { first, interval, 3 };
+    return spec;
+}
+
 JobSpec withPayload(JobSpec spec, const std::string &word)
 {
     spec.payload += " " + word;
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -67,6 +67,8 @@
     /** Runs @p body at a later time. */
     void after(Milliseconds delay, std::function<void()> body);
     [[nodiscard]] TimePoint now() const;
+    /** True time of day. */
+    [[nodiscard]] WallTime wallNow() const;
 
     // Faults.
 
@@ -146,6 +148,8 @@
     void step(TimePoint limit);
     [[nodiscard]] TimePoint nextTime(TimePoint limit) const;
     void settle();
+    void noteFact(const WorkerFact &fact);
+    void settleGangs();
     void startProcess(Host &host);
     JobDriver makeDriver(Host &host, std::uint64_t process);
     /** Runs @p body in the process's turn, or when it is resumed; never when it has ended. */
@@ -192,6 +196,14 @@
                  Milliseconds work = Milliseconds(400), Millicores processors = Millicores(2000));
 /** A job whose tasks last until it is cancelled. */
 JobSpec lastingJob(std::uint64_t number, std::uint32_t width = 2);
+/** A job of one step whose tasks work only together. */
+JobSpec gangJob(std::uint64_t number, std::uint32_t width = 3);
+/** A job whose step may run copies of its tasks. */
+JobSpec copiedJob(std::uint64_t number, std::uint32_t width = 3);
+/** A job of the queue that needs admission. */
+JobSpec admittedJob(std::uint64_t number, std::uint32_t width = 3);
+/** A job that repeats three times, from @p first on. */
+JobSpec repeatedJob(std::uint64_t number, WallTime first, Milliseconds interval = Milliseconds(1200));
 /** Adds a word to the payload: `fail=2`. */
 JobSpec withPayload(JobSpec spec, const std::string &word);
 
--- a/tests/libjobs/virtualworker.cpp
+++ b/tests/libjobs/virtualworker.cpp
@@ -11,6 +11,7 @@
 constexpr Milliseconds stopTime { 100 };
 constexpr Milliseconds startupTime { 100 };
 constexpr Milliseconds failingTime { 20 };
+constexpr Milliseconds gangPatience { 3000 };
 /** Time that never comes in a test. */
 constexpr Milliseconds never { 100'000'000 };
 
@@ -34,11 +35,25 @@
             behaviour.failingRuns = static_cast<std::uint32_t>(value);
         } else if (key == "tail") {
             behaviour.tail = value;
+        } else if (key == "gang") {
+            behaviour.gang = static_cast<std::size_t>(value);
+        } else if (key == "ticket") {
+            behaviour.needsTicket = value != 0;
         }
     }
     return behaviour;
 }
 
+bool mayAdmit(const StepRef &step, const WorkerEntry &worker)
+{
+    return stableHash(step.job.value() + worker.id.value()) % 3 != 0;
+}
+
+std::string ticketFor(const StepRef &step, const WorkerEntry &worker)
+{
+    return describe(TaskRef { step, 0 }) + "@" + worker.id.value() + "/" + std::to_string(worker.life.value());
+}
+
 VirtualWorker::VirtualWorker(WorkerEntry entry, TimePoint bornAt, Milliseconds clockOffset, FactHandler onFact)
     : m_entry(std::move(entry))
     , m_onFact(std::move(onFact))
@@ -81,7 +96,8 @@
                        row.end,
                        row.number <= m_lapsedEnds,
                        {},
-                       {} });
+                       {},
+                       false });
         }
     }
     std::erase_if(m_ends, [&order](const EndedRow &row) { return row.number <= order.acknowledged; });
@@ -101,19 +117,23 @@
     if (order.leaseUntil < clock(now)) {
         return refuse(WorkerFailure::TooLate, now);
     }
-    extend(order.leaseUntil, now);
     Run run;
     run.behaviour = parseBehaviour(order.payload);
+    const StepRef &step = order.run.task.step;
+    if (run.behaviour.needsTicket && (!mayAdmit(step, m_entry) || order.ticket != ticketFor(step, m_entry))) {
+        return refuse(WorkerFailure::NoAdmission, now);
+    }
+    extend(order.leaseUntil, now);
     run.startedAt = now;
     run.endsAt = now + never;
     if (m_isFailing) {
         run.endsAt = now + failingTime;
-    } else if (run.behaviour.work && !m_isHanging) {
+    } else if (run.behaviour.gang == 0 && run.behaviour.work && !m_isHanging) {
         const auto work = static_cast<double>(run.behaviour.work->count()) * m_slowness;
         run.endsAt = now + Milliseconds(static_cast<std::int64_t>(work));
     }
     m_onFact({ WorkerFact::Kind::Started, now, m_entry.id, order.run, ListedEnd::Done, false, order.payload,
-               order.resumeFrom });
+               order.resumeFrom, false });
     m_runs.emplace(order.run, run);
     return answer(now);
 }
@@ -156,10 +176,11 @@
         if (run.stopsAt && *run.stopsAt <= now) {
             over.emplace_back(ref, ListedEnd::Stopped);
         } else if (run.endsAt <= now) {
-            const bool fails = m_isFailing || ref.number.value() <= run.behaviour.failingRuns;
-            over.emplace_back(ref, fails ? ListedEnd::Failed : ListedEnd::Done);
+            over.emplace_back(ref, fails(ref, run) ? ListedEnd::Failed : ListedEnd::Done);
         } else if (isLapsed) {
             over.emplace_back(ref, ListedEnd::Lapsed);
+        } else if (run.behaviour.gang > 0 && !run.isComplete && run.startedAt + gangPatience <= now) {
+            over.emplace_back(ref, ListedEnd::Alone);
         }
     }
     for (const auto &[ref, how] : over) {
@@ -167,6 +188,11 @@
     }
 }
 
+bool VirtualWorker::fails(const RunRef &ref, const Run &run) const
+{
+    return m_isFailing || ref.number.value() <= run.behaviour.failingRuns;
+}
+
 std::optional<TimePoint> VirtualWorker::nextEvent(TimePoint now) const
 {
     std::optional<TimePoint> next;
@@ -177,6 +203,9 @@
     };
     for (const auto &[ref, run] : m_runs) {
         consider(run.endsAt);
+        if (run.behaviour.gang > 0 && !run.isComplete) {
+            consider(run.startedAt + gangPatience);
+        }
         if (run.stopsAt) {
             consider(*run.stopsAt);
         }
@@ -189,18 +218,63 @@
 
 void VirtualWorker::end(const RunRef &run, ListedEnd how, TimePoint now)
 {
+    const bool isMember = m_runs.at(run).behaviour.gang > 0;
     m_runs.erase(run);
     RunNumber &over = m_over[run.task];
     over = std::max(over, run.number);
     m_lastEnd = EndNumber(m_lastEnd.value() + 1);
     m_ends.push_back({ m_lastEnd, run, how, {} });
-    fact(WorkerFact::Kind::Ended, now, run, how);
+    m_onFact({ WorkerFact::Kind::Ended, now, m_entry.id, run, how, false, {}, {}, isMember });
+}
+
+std::map<RunRef, std::size_t> VirtualWorker::waitingMembers() const
+{
+    std::map<RunRef, std::size_t> members;
+    for (const auto &[ref, run] : m_runs) {
+        if (run.behaviour.gang > 0 && !run.isComplete) {
+            members.emplace(ref, run.behaviour.gang);
+        }
+    }
+    return members;
+}
+
+void VirtualWorker::beginGang(const GangRef &gang, TimePoint now)
+{
+    for (auto &[ref, run] : m_runs) {
+        if (GangRef { ref.task.step, ref.number } == gang) {
+            run.isComplete = true;
+            // Where the gang is to fail, one member does; the others end with it.
+            const bool endsByItself = !m_isHanging && (!fails(ref, run) || ref.task.index == 0);
+            run.endsAt = endsByItself ? now + run.behaviour.work.value_or(never) : run.endsAt;
+        }
+    }
+}
+
+void VirtualWorker::endGang(const GangRef &gang, ListedEnd how, TimePoint now)
+{
+    std::vector<RunRef> members;
+    for (const auto &[ref, run] : m_runs) {
+        if (GangRef { ref.task.step, ref.number } == gang) {
+            members.push_back(ref);
+        }
+    }
+    for (const RunRef &member : members) {
+        end(member, how, now);
+    }
 }
 
 void VirtualWorker::restart(TimePoint now)
 {
     for (const auto &[ref, run] : m_runs) {
-        fact(WorkerFact::Kind::Ended, now, ref, ListedEnd::Lapsed);
+        m_onFact({ WorkerFact::Kind::Ended,
+                   now,
+                   m_entry.id,
+                   ref,
+                   ListedEnd::Lapsed,
+                   false,
+                   {},
+                   {},
+                   run.behaviour.gang > 0 });
     }
     m_entry.life = WorkerLife(m_entry.life.value() + 1 + now.time_since_epoch().count());
     m_bornAt = now;
@@ -213,11 +287,6 @@
     m_over.clear();
 }
 
-void VirtualWorker::fact(WorkerFact::Kind kind, TimePoint now, const RunRef &run, ListedEnd end)
-{
-    m_onFact({ kind, now, m_entry.id, run, end, false, {}, {} });
-}
-
 WorkerTime VirtualWorker::clock(TimePoint now) const
 {
     return WorkerTime((now - m_bornAt + m_clockOffset).count());
--- a/tests/libjobs/virtualworker.h
+++ b/tests/libjobs/virtualworker.h
@@ -19,11 +19,28 @@
     std::uint32_t failingRuns = 0;
     /** Tail of the response times without neighbours, in ms; 0 when it serves none. */
     std::int64_t tail = 0;
+    /** Members that have to be there before one of them works; 0: no gang. */
+    std::size_t gang = 0;
+    /** Whether a start needs a ticket. */
+    bool needsTicket = false;
 };
 
-/** `work=700 fail=1 tail=12`; parts may be missing. */
+/** `work=700 fail=1 tail=12 gang=3 ticket=1`; parts may be missing. */
 TaskBehaviour parseBehaviour(const std::string &payload);
 
+/** Whether the policy lets a step run on a worker, and with which ticket in the worker's present life. */
+bool mayAdmit(const StepRef &step, const WorkerEntry &worker);
+std::string ticketFor(const StepRef &step, const WorkerEntry &worker);
+
+/** The runs that form a gang together. */
+struct GangRef
+{
+    StepRef step;
+    RunNumber number;
+
+    auto operator<=>(const GangRef &) const = default;
+};
+
 /** A fact about a run, for the judge. */
 struct WorkerFact
 {
@@ -40,6 +57,8 @@
     /** Started: what the order said. */
     std::string payload;
     CheckpointId resumeFrom;
+    /** Ended: whether it was a member of a gang. */
+    bool isMember = false;
 };
 
 /**
@@ -70,6 +89,13 @@
     [[nodiscard]] std::size_t runningCount() const;
     [[nodiscard]] bool runs(const TaskRef &task) const;
 
+    /** Members that wait for the rest of their gangs, and how many make a gang. */
+    [[nodiscard]] std::map<RunRef, std::size_t> waitingMembers() const;
+    /** All members of the gang are there: its runs begin to work. */
+    void beginGang(const GangRef &gang, TimePoint now);
+    /** A member has ended elsewhere. */
+    void endGang(const GangRef &gang, ListedEnd how, TimePoint now);
+
     // Faults.
 
     void setFailing(bool isFailing);
@@ -86,15 +112,16 @@
         std::optional<TimePoint> stopsAt;
         TimePoint startedAt {};
         std::uint32_t pace = 100;
+        bool isComplete = false;
     };
 
     WorkerResult look(const LookOrder &order, TimePoint now);
     WorkerResult start(const StartOrder &order, TimePoint now);
     WorkerResult stop(const StopOrder &order, TimePoint now);
     WorkerResult pace(const PaceOrder &order, TimePoint now);
+    [[nodiscard]] bool fails(const RunRef &ref, const Run &run) const;
     void extend(WorkerTime until, TimePoint now);
     void end(const RunRef &run, ListedEnd how, TimePoint now);
-    void fact(WorkerFact::Kind kind, TimePoint now, const RunRef &run, ListedEnd end);
     [[nodiscard]] WorkerTime clock(TimePoint now) const;
     [[nodiscard]] WorkerAnswer answer(TimePoint now) const;
     [[nodiscard]] WorkerResult refuse(WorkerFailure failure, TimePoint now) const;
