--- a/src/libjobs/callgateway.cpp
+++ b/src/libjobs/callgateway.cpp
@@ -79,6 +79,7 @@
         return;
     }
     const Pending &call = pending.mapped();
+    m_context.count("calls_answered", callOutcomeName(answer.outcome));
     const bool isPlain = answer.outcome == CallOutcome::Accepted || answer.outcome == CallOutcome::Found;
     if (!isPlain || !std::holds_alternative<ReadJob>(call.call)) {
         m_context.log(LogLevel::Info, events::callAnswered,
--- a/src/libjobs/jobcontext.cpp
+++ b/src/libjobs/jobcontext.cpp
@@ -1,5 +1,7 @@
 #include "jobcontext.h"
 
+#include "jobevents.h"
+
 #include <algorithm>
 
 namespace currantring {
@@ -27,7 +29,31 @@
 
 void JobContext::callStore(KvRequest request, Milliseconds timeout, JobDriver::KvHandler then)
 {
-    m_driver.callStore(std::move(request), timeout, std::move(then));
+    m_driver.callStore(std::move(request), timeout, [this, then = std::move(then)](const KvResult &result) {
+        noteStore(result);
+        then(result);
+    });
+}
+
+void JobContext::noteStore(const KvResult &result)
+{
+    const bool isTrouble = !result
+        && (result.error().kind == KvErrorKind::Refused || result.error().kind == KvErrorKind::NotSent
+            || result.error().kind == KvErrorKind::Unknown);
+    if (!result) {
+        count("store_errors", kvErrorName(result.error().kind));
+    }
+    switch (m_storeHealth.note(!isTrouble, m_now)) {
+    case StoreHealth::Change::Lost:
+        log(LogLevel::Warning, events::storeLost, { { "reason", std::string(kvErrorName(result.error().kind)) } });
+        break;
+    case StoreHealth::Change::Regained:
+        log(LogLevel::Info, events::storeRegained,
+            { { "after_ms", std::to_string(m_storeHealth.lostFor(m_now).count()) } });
+        break;
+    case StoreHealth::Change::None:
+        break;
+    }
 }
 
 void JobContext::callWorker(const WorkerId &worker, const Address &address, WorkerOrder order, Milliseconds timeout,
--- a/src/libjobs/jobcontext.h
+++ b/src/libjobs/jobcontext.h
@@ -6,6 +6,7 @@
 #include "kvrequest.h"
 #include "logevent.h"
 #include "random.h"
+#include "storehealth.h"
 #include "timerqueue.h"
 #include "units.h"
 #include "workerorder.h"
@@ -91,11 +92,14 @@
     [[nodiscard]] std::optional<TimePoint> nextTimer() const;
 
 private:
+    void noteStore(const KvResult &result);
+
     TimePoint m_now {};
     WallTime m_wallNow {};
     Random m_random;
     TimerQueue m_timers;
     JobDriver m_driver;
+    StoreHealth m_storeHealth;
 };
 
 } // namespace currantring
--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -9,7 +9,6 @@
 inline constexpr std::string_view processStopping = "process_stopping";
 inline constexpr std::string_view processStopped = "process_stopped";
 inline constexpr std::string_view settingsReloaded = "settings_reloaded";
-inline constexpr std::string_view pauseNoticed = "pause_noticed";
 
 inline constexpr std::string_view storeLost = "store_lost";
 inline constexpr std::string_view storeRegained = "store_regained";
@@ -40,7 +39,6 @@
 
 inline constexpr std::string_view callRefused = "call_refused";
 inline constexpr std::string_view callAnswered = "call_answered";
-inline constexpr std::string_view callUndecided = "call_undecided";
 inline constexpr std::string_view jobAccepted = "job_accepted";
 inline constexpr std::string_view jobClosed = "job_closed";
 inline constexpr std::string_view occurrenceDue = "occurrence_due";
--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -16,6 +16,12 @@
 /** Time until an unanswered commit is sent again; doubles with each try. */
 constexpr Milliseconds firstResend { 100 };
 constexpr Milliseconds longestResend { 800 };
+/** A commit that takes this many times the usual one, within these bounds, is stuck. */
+constexpr std::int64_t stuckFactor = 4;
+constexpr Milliseconds leastStuckAge { 250 };
+constexpr Milliseconds mostStuckAge { 1200 };
+/** Weight of the latest commit in the usual one: one part of so many. */
+constexpr std::int64_t usualSpan = 4;
 /** Records in one slot, so that a value stays well below the store's limit. */
 constexpr std::size_t recordsPerCommit = 2000;
 constexpr std::size_t payloadBytesPerCommit = 300'000;
@@ -288,6 +294,7 @@
     m_lastConfirmed = std::max(m_lastConfirmed, sentAt);
     const Group group = std::move(*m_inFlight);
     m_inFlight.reset();
+    m_usualCommit += (m_context.now() - group.begunAt - m_usualCommit) / usualSpan;
     if (!m_pending.empty() || !m_pendingHandlers.empty()) {
         scheduleCommit(Milliseconds(0));
     }
@@ -349,6 +356,11 @@
     return m_inFlight ? m_context.now() - m_inFlight->begunAt : Milliseconds(0);
 }
 
+bool JobLog::isStuck() const
+{
+    return commitAge() > std::clamp(m_usualCommit * stuckFactor, leastStuckAge, mostStuckAge);
+}
+
 std::size_t JobLog::slotCount() const
 {
     return m_nextSlot - m_firstSlot;
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -72,6 +72,8 @@
     [[nodiscard]] TimePoint lastConfirmed() const;
     /** How long the commit under way has been unanswered; 0 when there is none. */
     [[nodiscard]] Milliseconds commitAge() const;
+    /** Whether the commit under way takes much longer than they usually do. */
+    [[nodiscard]] bool isStuck() const;
     [[nodiscard]] std::size_t slotCount() const;
 
 private:
@@ -125,6 +127,8 @@
     std::optional<std::pair<TimePoint, TimerId>> m_commitTimer;
     std::optional<TimerId> m_resendTimer;
     TimePoint m_lastCommit {};
+    /** Moving average of the time that commits take. */
+    Milliseconds m_usualCommit {};
     TimePoint m_lastConfirmed {};
 };
 
--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -10,8 +10,6 @@
 
 /** An idle writer asks the store in these intervals whether it still is the writer. */
 constexpr Milliseconds confirmInterval { 1000 };
-/** While a commit waits for longer, what can't be recorded is refused at once. */
-constexpr Milliseconds storeTrouble { 500 };
 constexpr Milliseconds retryAfter { 1000 };
 
 void answerAccepted(std::map<JobId, std::vector<JobWriter::Answer>> &waiting, const JobId &job)
@@ -99,8 +97,7 @@
         }
         return;
     }
-    if (m_log.commitAge() > storeTrouble) {
-        then({ CallOutcome::Refused, {}, 0, retryAfter });
+    if (refuseWhileStuck(call, then)) {
         return;
     }
     m_accepting[id].push_back(std::move(then));
@@ -117,6 +114,21 @@
     m_director->openJob(id);
 }
 
+/** What can't be recorded now is refused at once; nothing of it was or will be stored. */
+bool JobWriter::refuseWhileStuck(const CallerCall &call, const Answer &then)
+{
+    if (!m_log.isStuck()) {
+        return false;
+    }
+    m_context.log(LogLevel::Info, events::callRefused,
+                  { { "call", std::string(callName(call)) },
+                    { "subject", callSubject(call) },
+                    { "reason", "store-stuck" },
+                    { "commit_age_ms", std::to_string(m_log.commitAge().count()) } });
+    then({ CallOutcome::Refused, {}, 0, retryAfter });
+    return true;
+}
+
 void JobWriter::read(const ReadJob &call, const Answer &then)
 {
     const Job *const job = m_log.table().find(call.job);
@@ -139,8 +151,7 @@
         cancelling->second.push_back(std::move(then));
         return;
     }
-    if (m_log.commitAge() > storeTrouble) {
-        then({ CallOutcome::Refused, {}, 0, retryAfter });
+    if (refuseWhileStuck(call, then)) {
         return;
     }
     if (job->isClosed()) {
--- a/src/libjobs/jobwriter.h
+++ b/src/libjobs/jobwriter.h
@@ -48,6 +48,7 @@
     void read(const ReadJob &call, const Answer &then);
     void cancel(const CancelJob &call, Answer then);
     void count(const CountWaiting &call, const Answer &then);
+    bool refuseWhileStuck(const CallerCall &call, const Answer &then);
     void answerUnknown(const Answer &then);
     void lose();
     void keepConfirmed();
--- a/src/libjobs/rundirector.cpp
+++ b/src/libjobs/rundirector.cpp
@@ -64,7 +64,8 @@
     handlers.onLost = [this, worker](const LiveRun &run, std::string_view reason) {
         takeLoss(worker, run, reason);
     };
-    handlers.onStarted = [](const LiveRun & /*run*/) {
+    handlers.onStarted = [this](const LiveRun &run) {
+        m_context.observe("start_ms", run.queue, "run", m_context.now() - run.placedAt);
     };
     handlers.onUnsettled = [this](const LiveRun &run) {
         copyRun(run, "start-unsettled");
@@ -78,7 +79,9 @@
     handlers.onReachability = [this, worker] {
         takeReachability(worker);
     };
-    handlers.onFenced = [this] {
+    handlers.onFenced = [this, worker] {
+        m_context.log(LogLevel::Warning, events::fenceMet,
+                      { { "worker", worker.value() }, { "token", std::to_string(m_options.token.value()) } });
         m_handlers.onFenced();
     };
     handlers.describeRun = [this](const TaskRef &task) -> std::shared_ptr<const StepSpec> {
@@ -224,6 +227,7 @@
 void RunDirector::takeEnd(const WorkerId &worker, const LiveRun &run, ListedEnd end, const CheckpointId &checkpoint)
 {
     m_hasNewEnds = true;
+    m_context.count("runs_ended", runEndName(toRunEnd(end)));
     m_context.log(LogLevel::Info, events::runEnded,
                   { { "task", describe(run.ref.task) },
                     { "run", std::to_string(run.ref.number.value()) },
@@ -255,11 +259,17 @@
                     { "worker", worker.value() },
                     { "reason", std::string(reason) },
                     { "after_ms", std::to_string((m_context.now() - run.placedAt).count()) } });
+    m_context.count("runs_lost", reason);
     recordEnd(run, RunEnd::Lost, run.checkpoint);
 }
 
 void RunDirector::takeRefusal(const WorkerId &worker, const LiveRun &run, WorkerFailure failure)
 {
+    m_context.log(LogLevel::Info, events::runRefused,
+                  { { "task", describe(run.ref.task) },
+                    { "run", std::to_string(run.ref.number.value()) },
+                    { "worker", worker.value() },
+                    { "reason", std::string(workerFailureName(failure)) } });
     if (failure == WorkerFailure::NoAdmission) {
         m_starter.dropTicket(run.ref, worker);
     } else if (failure == WorkerFailure::Unhealthy) {
@@ -343,12 +353,21 @@
     m_log.append(JobClosed { job, phase, m_context.wallNow() }, RecordUrgency::Urgent,
                  m_lifetime.guard([this, job, phase] {
                      m_closing.erase(job);
+                     observeClose(job, phase);
                      m_context.log(LogLevel::Info, events::jobClosed,
                                    { { "job", job.value() }, { "phase", std::string(jobPhaseName(phase)) } });
                  }));
     closeJob(job);
 }
 
+void RunDirector::observeClose(const JobId &id, JobPhase phase)
+{
+    if (const Job *const job = m_log.table().find(id)) {
+        const Milliseconds age(m_context.wallNow().value() - job->acceptedAt.value());
+        m_context.observe("job_ms", job->spec->queue, jobPhaseName(phase), age);
+    }
+}
+
 bool RunDirector::isClosing(const JobId &job) const
 {
     return m_closing.contains(job);
--- a/src/libjobs/rundirector.h
+++ b/src/libjobs/rundirector.h
@@ -81,6 +81,7 @@
     [[nodiscard]] std::uint32_t awayBeside(const LiveRun &run);
     [[nodiscard]] bool isAtWork(const TaskRef &task, const Task &state);
     void stopRun(const RunRef &run, const WorkerId &worker);
+    void observeClose(const JobId &id, JobPhase phase);
     void close(const JobId &job, JobPhase phase);
     [[nodiscard]] bool mayExtendLease() const;
 
--- a/src/libjobs/workerfleet.cpp
+++ b/src/libjobs/workerfleet.cpp
@@ -99,11 +99,19 @@
         return;
     }
     if (WorkerLink *const link = find(decoded->id)) {
+        if (decoded->standing == WorkerStanding::Draining && link->entry().standing != WorkerStanding::Draining) {
+            m_context.log(LogLevel::Info, events::workerDraining,
+                          { { "worker", decoded->id.value() }, { "runs", std::to_string(link->runs().size()) } });
+        }
         link->setEntry(std::move(*decoded));
         m_handlers.onChanged(*link);
         return;
     }
     WorkerLink &link = add(std::move(*decoded));
+    m_context.log(LogLevel::Info, events::workerAdded,
+                  { { "worker", link.entry().id.value() },
+                    { "address", link.entry().address.value() },
+                    { "rack", link.entry().rack.value() } });
     link.begin();
     m_handlers.onAdded(link);
 }
