--- a/src/libjobs/runwatch.cpp
+++ b/src/libjobs/runwatch.cpp
@@ -54,7 +54,7 @@
         if (run.phase != RunPhase::Running || moves.size() >= movesAtOnce) {
             continue;
         }
-        const std::string_view reason = reasonToMove(link, run, isWorkerUnsound, now);
+        const std::string_view reason = reasonToMove(run, isWorkerUnsound, now);
         if (reason.empty() || !mayMove(run)) {
             continue;
         }
@@ -90,8 +90,7 @@
     return now - since >= unsoundPatience;
 }
 
-std::string_view RunWatch::reasonToMove(const WorkerLink & /*link*/, const LiveRun &run, bool isWorkerUnsound,
-                                        TimePoint now) const
+std::string_view RunWatch::reasonToMove(const LiveRun &run, bool isWorkerUnsound, TimePoint now) const
 {
     const bool isKept = run.step->hasCheckpoints || run.percent < littleProgress;
     if (run.step->isLasting) {
--- a/src/libjobs/runwatch.h
+++ b/src/libjobs/runwatch.h
@@ -48,8 +48,7 @@
 
 private:
     [[nodiscard]] bool isUnsound(const WorkerLink &link, TimePoint now);
-    [[nodiscard]] std::string_view reasonToMove(const WorkerLink &link, const LiveRun &run, bool isWorkerUnsound,
-                                                TimePoint now) const;
+    [[nodiscard]] std::string_view reasonToMove(const LiveRun &run, bool isWorkerUnsound, TimePoint now) const;
     [[nodiscard]] bool mayMove(const LiveRun &run) const;
     [[nodiscard]] static bool isStalled(const LiveRun &run, TimePoint now);
     [[nodiscard]] bool isStraggler(const LiveRun &run, TimePoint now) const;
