Let lasting tasks that are slow to start come to work, and move what stands still for good

Change: a task is late only when its progress stands still for 3 s; what stands still is moved to any worker that takes it, and its former worker counts as one on which it failed. Seen: aLastingTaskThatIsSlowToStartIsLetCome and aLastingTaskThatDoesNotStartIsMoved failed first (6 starts instead of 2; placed again where it stood still).

--- a/src/libjobs/runwatch.cpp
+++ b/src/libjobs/runwatch.cpp
@@ -18,7 +18,7 @@
 /** A run without any progress for this time, and for so many times what a percent should take, stands still. */
 constexpr Milliseconds stallPatience { 1500 };
 constexpr std::int64_t stallPercents = 10;
-/** A lasting task that isn't at work so long after its start won't be. */
+/** A lasting task that isn't at work and hasn't got on for so long won't be. */
 constexpr Milliseconds startPatience { 3000 };
 constexpr std::size_t movesAtOnce = 2;
 /** A copy pays where the rest of a run takes longer than a whole one elsewhere, by this factor. */
@@ -27,6 +27,8 @@
 /** What the new place may cost at most; what can't go on here takes any. */
 constexpr double goodCost = 1.5;
 constexpr double anyCost = 1000;
+constexpr std::string_view haltedReason = "halted";
+constexpr std::string_view standsReason = "stands-still";
 
 bool isAtWork(const LiveRun &run)
 {
@@ -59,9 +61,14 @@
             continue;
         }
         const std::optional<PlacementWish> wish = m_sources.wishFor(run);
-        const double mostCost = isWorkerUnsound ? anyCost : goodCost;
+        // A filler that gets on slowly is moved for the better only.
+        const double mostCost = reason == haltedReason ? goodCost : anyCost;
         if (wish && m_placer.hasOther(*wish, link, mostCost, now)) {
             moves.push_back({ ref, reason });
+            if (reason == standsReason) {
+                // So that it isn't placed there again at once.
+                m_health.noteFailure(link.entry().id, ref.task, now);
+            }
         }
     }
     return moves;
@@ -94,20 +101,22 @@
 {
     const bool isKept = run.step->hasCheckpoints || run.percent < littleProgress;
     if (run.step->isLasting) {
-        const bool isLate = run.percent < 100 && now - run.settledAt.value_or(now) > startPatience;
-        return isWorkerUnsound ? "worker-unsound" : isLate ? "not-at-work" : "";
+        // Some take many seconds to start, and get on meanwhile.
+        const TimePoint since = std::max(run.progressAt, run.settledAt.value_or(now));
+        const bool isLate = run.percent < 100 && now - since > startPatience;
+        return isWorkerUnsound ? "worker-unsound" : isLate ? standsReason : "";
     }
     if (isWorkerUnsound && (isKept || run.percent < mostProgress)) {
         return "worker-unsound";
     }
     if (isStalled(run, now)) {
-        return "stalled";
+        return standsReason;
     }
     if (isStraggler(run, now)) {
         return "straggler";
     }
     const bool isHalted = run.isFiller() && run.pace <= haltedPace && now - run.pacedAt >= haltedPatience;
-    return isHalted && isKept ? "halted" : "";
+    return isHalted && isKept ? haltedReason : "";
 }
 
 bool RunWatch::isStalled(const LiveRun &run, TimePoint now)
--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -86,4 +86,34 @@
     BOOST_TEST(site.runUntil([&site] { return site.logCount(events::shardActive) == 2; }, Milliseconds(4000)));
 }
 
+BOOST_AUTO_TEST_CASE(aLastingTaskThatIsSlowToStartIsLetCome)
+{
+    VirtualSite site({});
+    site.run(startTime);
+    const JobSpec job = withPayload(lastingJob(1), "startup=7000");
+    BOOST_TEST(site.submit(job));
+    site.run(Milliseconds(9000));
+    BOOST_TEST(site.judge().starts() == 2U);
+    BOOST_TEST(site.logCount(events::runMoved) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aLastingTaskThatDoesNotStartIsMoved)
+{
+    VirtualSiteOptions options;
+    options.workers = 3;
+    VirtualSite site(options);
+    site.drainWorker(WorkerId("w2"));
+    site.worker(WorkerId("w0")).setHanging(true, site.now());
+    site.run(startTime);
+    JobSpec job = lastingJob(1, 2);
+    job.steps.front().spreadLimit = 1;
+    BOOST_TEST(site.submit(job));
+    site.run(Milliseconds(1000));
+    BOOST_TEST(site.worker(WorkerId("w0")).runningCount() == 1U);
+    site.worker(WorkerId("w2")).setStanding(WorkerStanding::Ready);
+    site.listWorker(WorkerId("w2"), true);
+    BOOST_TEST(site.runUntil([&site] { return site.worker(WorkerId("w2")).runningCount() == 1; }, Milliseconds(6000)));
+    BOOST_TEST(site.logCount(events::runMoved) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
