--- a/tests/libjobs/sitejudge.cpp
+++ b/tests/libjobs/sitejudge.cpp
@@ -79,6 +79,9 @@
     if (job->second.cancelledAt && fact.at - *job->second.cancelledAt > m_bounds.cancel) {
         violation("UNASKED", fact.at, name + " starts long after its job was cancelled");
     }
+    if (job->second.wasShownCompleted && !step.mayRunCopies) {
+        violation("TWICE", fact.at, name + " starts after its job was shown as completed");
+    }
     if (!step.mayRunCopies && !task.running.empty()) {
         violation("TWICE", fact.at,
                   name + " runs on " + task.running.begin()->second.value() + " and " + fact.worker.value());
@@ -221,6 +224,7 @@
     } else if (answer.outcome == CallOutcome::Unknown && truth.acceptedAt && *truth.acceptedAt < sentAt) {
         violation("LOST", at, job->first.value() + " is said not to exist");
     } else if (answer.outcome == CallOutcome::Found && answer.phase == JobPhase::Completed) {
+        truth.wasShownCompleted = true;
         checkCompleted(*truth.spec, at);
     } else if (answer.outcome == CallOutcome::Found && answer.phase == JobPhase::Cancelled && !truth.cancelledAt
                && !truth.cancelSentAt) {
--- a/tests/libjobs/sitejudge.h
+++ b/tests/libjobs/sitejudge.h
@@ -70,6 +70,7 @@
         bool mayHaveBeenAccepted = false;
         std::optional<TimePoint> cancelSentAt;
         std::optional<TimePoint> cancelledAt;
+        bool wasShownCompleted = false;
     };
 
     void takeStart(const WorkerFact &fact);
--- a/tests/libjobs/testkinds.cpp
+++ b/tests/libjobs/testkinds.cpp
@@ -160,4 +160,35 @@
     BOOST_TEST(site.judge().violations().empty());
 }
 
+BOOST_AUTO_TEST_CASE(tasksKeepToTheirLabel)
+{
+    // Two of them fit a worker, and three workers have the label: all but six wait.
+    JobSpec job = batchJob(1, 1, 10, Milliseconds(1500), Millicores(4000));
+    job.steps.front().requiredLabel = Label("r1");
+    BOOST_TEST(site.submit(job));
+    site.run(Milliseconds(800));
+    BOOST_TEST(site.judge().starts() == 6U);
+    BOOST_TEST(site.runUntil([this, &job] { return site.phaseOf(job.id) == JobPhase::Completed; }, Milliseconds(6000)));
+    BOOST_TEST(site.judge().violations().empty());
+}
+
+BOOST_AUTO_TEST_CASE(tasksOfASilentWorkerWaitForItsLease)
+{
+    JobSpec job = lastingJob(1, 5);
+    job.steps.front().spreadLimit = 1;
+    BOOST_TEST(site.submit(job));
+    BOOST_TEST(site.runUntil([this] { return site.judge().starts() == 5; }, Milliseconds(2000)));
+    for (const WorkerId &worker : site.workers()) {
+        if (site.worker(worker).runningCount() > 0) {
+            site.cutWorkerFromAll(worker, true);
+            break;
+        }
+    }
+    BOOST_TEST(site.runUntil([this] { return site.logCount(events::workerSilent) == 1; }, Milliseconds(3000)));
+    site.run(Milliseconds(500));
+    BOOST_TEST(site.judge().starts() == 5U);
+    BOOST_TEST(site.runUntil([this] { return site.judge().starts() == 6; }, Milliseconds(8000)));
+    BOOST_TEST(site.judge().violations().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -354,7 +354,7 @@
         }
         const bool isLook = std::holds_alternative<LookOrder>(order);
         if (!isLook && uniformUnit(m_random) < m_lateOrders) {
-            const Milliseconds late(2000 + static_cast<std::int64_t>(uniformBelow(m_random, 10'000)));
+            const Milliseconds late(300 + static_cast<std::int64_t>(uniformBelow(m_random, 11'700)));
             at(m_now + late, [this, worker, order] {
                 if (!place(worker).isDown) {
                     static_cast<void>(place(worker).worker->execute(order, m_now));
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -91,7 +91,7 @@
     /** The worker's process ends; calls are refused until it is restarted. */
     void crashWorker(const WorkerId &worker, bool isSilent);
     void restartWorker(const WorkerId &worker);
-    /** Each order gets no answer and is carried out 2 to 12 s later, with this probability. */
+    /** Each order gets no answer and is carried out 0.3 to 12 s later, with this probability. */
     void applyOrdersLate(double probability);
     /** Each answer to an order is lost with this probability. */
     void loseOrderAnswers(double probability);
