--- a/src/libjobs/runwatch.cpp
+++ b/src/libjobs/runwatch.cpp
@@ -21,8 +21,6 @@
 /** A lasting task that isn't at work and hasn't got on for so long won't be. */
 constexpr Milliseconds startPatience { 3000 };
 constexpr std::size_t movesAtOnce = 2;
-/** A copy pays where the rest of a run takes longer than a whole one elsewhere, by this factor. */
-constexpr std::int64_t stragglerFactor = 1;
 constexpr std::size_t tellingDurations = 2;
 /** What the new place may cost at most; what can't go on here takes any. */
 constexpr double goodCost = 1.5;
@@ -140,7 +138,8 @@
     const Milliseconds median = durations[durations.size() / 2];
     const Milliseconds age = now - run.settledAt.value_or(now);
     const Milliseconds whole = age * 100 / std::max(run.percent, 1U);
-    return age > median && whole - age > median * stragglerFactor;
+    // A copy pays where the rest of the run takes longer than a whole one elsewhere.
+    return age > median && whole - age > median;
 }
 
 void RunWatch::noteDone(const LiveRun &run, TimePoint now)
