--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -48,9 +48,14 @@
     return count;
 }
 
-bool hostsServing(const WorkerLink &link)
+/** How many times over the fillers would use the processors that are left to them. */
+double crowdingWith(const StepSpec &filler, const WorkerLink &link)
 {
-    return std::ranges::any_of(link.runs(), [](const auto &entry) { return entry.second.isServing(); });
+    const auto servers = static_cast<double>(link.servingDemand().value());
+    const double others = static_cast<double>(link.held().processors.value()) - servers;
+    const double unused = static_cast<double>(link.entry().capacity.processors.value()) - others - servers * servingUse;
+    const auto demand = static_cast<double>(link.fillerDemand().value() + filler.need.processors.value());
+    return demand / std::max(unused, leastUnused);
 }
 
 } // namespace
@@ -186,7 +191,10 @@
 /** How much slower fillers get, and how far serving tasks would come to their targets. */
 std::optional<double> RunPlacer::fillerCost(const WorkerLink &link, const PlacementWish &wish) const
 {
-    double servers = 0;
+    const double crowding = crowdingWith(wish.step, link);
+    if (crowding > mostCrowding && link.fillerDemand().value() > 0) {
+        return std::nullopt;
+    }
     double disturbance = 0;
     for (const auto &[ref, run] : link.runs()) {
         if (!run.isServing()) {
@@ -207,14 +215,6 @@
         disturbance = std::max(disturbance,
                                excess * excessWeight
                                    + m_neighbours.coefficient(wish.step.image, server.image) * coefficientWeight);
-        servers += static_cast<double>(server.need.processors.value());
-    }
-    const double others = static_cast<double>(link.held().processors.value()) - servers;
-    const double unused = static_cast<double>(link.entry().capacity.processors.value()) - others - servers * servingUse;
-    const auto demand = static_cast<double>((link.fillerDemand().value() + wish.step.need.processors.value()));
-    const double crowding = demand / std::max(unused, leastUnused);
-    if (crowding > mostCrowding && link.fillerDemand().value() > 0) {
-        return std::nullopt;
     }
     return std::max(crowding, leastCrowding) + disturbance;
 }
@@ -238,7 +238,7 @@
 {
     const auto capacity = static_cast<double>(link.entry().capacity.processors.value());
     return freePart(link) + static_cast<double>(link.fillerDemand().value()) / capacity
-        - (hostsServing(link) ? 1.0 : 0.0);
+        - (link.servingRuns() > 0 ? 1.0 : 0.0);
 }
 
 } // namespace currantring
--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -28,6 +28,12 @@
     bool isRackNeeded = false;
     /** When given, whether the task is admitted to a worker. */
     std::function<bool(const WorkerId &worker)> isAdmitted;
+
+    /** Whether nothing but the step and the rack decides which workers will do. */
+    [[nodiscard]] bool isPlain() const
+    {
+        return (avoid == nullptr || avoid->empty()) && !isLastAttempt && taken.empty() && !isAdmitted;
+    }
 };
 
 /**
@@ -50,11 +56,11 @@
     /** Whether another worker than @p present would take the task, at a cost below @p mostCost. */
     [[nodiscard]] bool hasOther(const PlacementWish &wish, const WorkerLink &present, double mostCost,
                                 TimePoint now) const;
+    /** Risk and cost together; nullopt when the worker can't take the task now. */
+    [[nodiscard]] std::optional<double> price(const WorkerLink &link, const PlacementWish &wish, TimePoint now) const;
 
 private:
     [[nodiscard]] bool mayTake(const WorkerLink &link, const PlacementWish &wish) const;
-    /** Risk and cost together; nullopt when the worker can't take the task now. */
-    [[nodiscard]] std::optional<double> price(const WorkerLink &link, const PlacementWish &wish, TimePoint now) const;
     /** Nullopt when the worker is too unsound for the task. */
     [[nodiscard]] std::optional<double> riskCost(const WorkerLink &link, const PlacementWish &wish,
                                                  TimePoint now) const;
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -1,6 +1,7 @@
 #include "runstarter.h"
 
 #include "jobevents.h"
+#include "pricelist.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,6 +13,8 @@
 /** A task waits for its rack as long as the detour would take, within these bounds. */
 constexpr Milliseconds leastRackPatience { 300 };
 constexpr Milliseconds longestRackPatience { 3000 };
+/** Passes are so far apart at least; what waits meanwhile is placed together. */
+constexpr Milliseconds passInterval { 20 };
 /** Workers that one call for admission names. */
 constexpr std::size_t admissionCandidates = 30;
 
@@ -50,7 +53,9 @@
 void RunStarter::requestPass()
 {
     if (!std::exchange(m_passRequested, true)) {
-        m_parts.context.schedule(Milliseconds(0), m_lifetime.guard([this] {
+        const TimePoint now = m_parts.context.now();
+        const TimePoint due = m_lastPass ? std::max(now, *m_lastPass + passInterval) : now;
+        m_parts.context.schedule(due - now, m_lifetime.guard([this] {
             m_passRequested = false;
             pass();
         }));
@@ -62,6 +67,8 @@
     if (!m_parts.fleet.isListed()) {
         return;
     }
+    m_lastPass = m_parts.context.now();
+    m_noRoom.clear();
     std::vector<std::pair<JobUrgency, StepRef>> order;
     for (const auto &[step, ready] : m_ready.steps()) {
         if (const QueueEntry *const queue = m_parts.queues.find(ready.queue)) {
@@ -156,6 +163,7 @@
     const QueueEntry *const queue = m_parts.queues.find(ready.queue);
     const TimePoint now = m_parts.context.now();
     const Milliseconds patience = std::clamp(ready.step->estimate, leastRackPatience, longestRackPatience);
+    std::optional<PriceList> prices;
     for (const std::uint32_t index : ready.tasks) {
         const TaskRef task { step, index };
         std::optional<PlacementWish> wish = wishFor(task, *ready.step, ready.queue);
@@ -165,14 +173,38 @@
         requireTicket(step, *queue, *wish);
         wish->rack = rackOf(step, *ready.step);
         wish->isRackNeeded = !wish->rack.value().empty() && now - ready.since < patience;
-        WorkerLink *const link = m_parts.placer.choose(*wish, now);
+        WorkerLink *const link = choose(*wish, prices);
         if (link == nullptr) {
             askAdmission(step, *queue, *wish);
             return;
         }
         const Choice choice { task, link, RunNumber(taskOf(task)->lastRun.value() + 1) };
         record(choice, reserve(choice, ready));
+        if (prices) {
+            prices->reprice(*link);
+        }
+    }
+}
+
+/** Takes the worker from the step's prices where these hold for the task. */
+WorkerLink *RunStarter::choose(const PlacementWish &wish, std::optional<PriceList> &prices)
+{
+    if (m_noRoom.isHopeless(wish)) {
+        return nullptr;
+    }
+    WorkerLink *link = nullptr;
+    if (wish.isPlain()) {
+        if (!prices || !prices->holdsFor(wish)) {
+            prices.emplace(m_parts.placer, m_parts.fleet, wish, m_parts.context.now());
+        }
+        link = prices->best();
+    } else {
+        link = m_parts.placer.choose(wish, m_parts.context.now());
+    }
+    if (link == nullptr) {
+        m_noRoom.noteNone(wish);
     }
+    return link;
 }
 
 /** The members of a gang start together or not at all; where they want one rack, the racks are tried in turn. */
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -5,6 +5,7 @@
 #include "joburgency.h"
 #include "queuebook.h"
 #include "readysteps.h"
+#include "roommemo.h"
 #include "runplacer.h"
 
 #include <functional>
@@ -13,6 +14,8 @@
 
 namespace currantring {
 
+class PriceList;
+
 /**
  * Places the tasks that may start, in the order of their urgency, and orders their starts once this is on record.
  *
@@ -60,6 +63,7 @@
     void pass();
     void placeStep(const StepRef &step);
     void placeTasks(const StepRef &step, const ReadyStep &ready);
+    WorkerLink *choose(const PlacementWish &wish, std::optional<PriceList> &prices);
     void placeGang(const StepRef &step, const ReadyStep &ready);
     bool tryGang(const StepRef &step, const ReadyStep &ready, const Label &rack);
     void requireTicket(const StepRef &step, const QueueEntry &queue, PlacementWish &wish) const;
@@ -75,7 +79,10 @@
     Lifetime m_lifetime;
     ReadySteps m_ready;
     AdmissionDesk m_admission;
+    /** Within one pass. */
+    RoomMemo m_noRoom;
     bool m_passRequested = false;
+    std::optional<TimePoint> m_lastPass;
 };
 
 } // namespace currantring
--- a/src/libjobs/runwatch.cpp
+++ b/src/libjobs/runwatch.cpp
@@ -21,6 +21,8 @@
 /** A lasting task that isn't at work and hasn't got on for so long won't be. */
 constexpr Milliseconds startPatience { 3000 };
 constexpr std::size_t movesAtOnce = 2;
+/** A better place for halted fillers is looked for so often. */
+constexpr Milliseconds betterInterval { 100 };
 constexpr std::size_t tellingDurations = 2;
 /** What the new place may cost at most; what can't go on here takes any. */
 constexpr double goodCost = 1.5;
@@ -58,10 +60,7 @@
         if (reason.empty() || !mayMove(run)) {
             continue;
         }
-        const std::optional<PlacementWish> wish = m_sources.wishFor(run);
-        // A filler that gets on slowly is moved for the better only.
-        const double mostCost = reason == haltedReason ? goodCost : anyCost;
-        if (wish && m_placer.hasOther(*wish, link, mostCost, now)) {
+        if (hasBetter(run, link, reason == haltedReason, now)) {
             moves.push_back({ ref, reason });
             if (reason == standsReason) {
                 // So that it isn't placed there again at once.
@@ -72,6 +71,32 @@
     return moves;
 }
 
+bool RunWatch::hasBetter(const LiveRun &run, const WorkerLink &link, bool isHalted, TimePoint now)
+{
+    std::optional<PlacementWish> wish = m_sources.wishFor(run);
+    if (!wish) {
+        return false;
+    }
+    if (!isHalted) {
+        return m_placer.hasOther(*wish, link, anyCost, now);
+    }
+    if (now - m_noBetterSince >= betterInterval) {
+        m_noBetter.clear();
+        m_noBetterSince = now;
+    }
+    if (m_noBetter.isHopeless(*wish)) {
+        return false;
+    }
+    // A filler that gets on slowly is moved for the better only.
+    const bool isThere = m_placer.hasOther(*wish, link, goodCost, now);
+    if (!isThere) {
+        // Its present worker is no place for its like either.
+        wish->taken.clear();
+        m_noBetter.noteNone(*wish);
+    }
+    return isThere;
+}
+
 bool RunWatch::isUnsound(const WorkerLink &link, TimePoint now)
 {
     std::size_t serving = 0;
--- a/src/libjobs/runwatch.h
+++ b/src/libjobs/runwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "neighbourmodel.h"
+#include "roommemo.h"
 #include "runplacer.h"
 #include "workerhealth.h"
 
@@ -50,6 +51,7 @@
     [[nodiscard]] bool isUnsound(const WorkerLink &link, TimePoint now);
     [[nodiscard]] std::string_view reasonToMove(const LiveRun &run, bool isWorkerUnsound, TimePoint now) const;
     [[nodiscard]] bool mayMove(const LiveRun &run) const;
+    bool hasBetter(const LiveRun &run, const WorkerLink &link, bool isHalted, TimePoint now);
     [[nodiscard]] static bool isStalled(const LiveRun &run, TimePoint now);
     [[nodiscard]] bool isStraggler(const LiveRun &run, TimePoint now) const;
 
@@ -57,6 +59,9 @@
     const RunPlacer &m_placer;
     WorkerHealth &m_health;
     Sources m_sources;
+    /** Kinds of fillers that had no better place lately, and since when the memo holds. */
+    RoomMemo m_noBetter;
+    TimePoint m_noBetterSince {};
     /** Since when a worker's serving tasks have answered far too slowly. */
     std::map<WorkerId, TimePoint> m_slowSince;
     /** How long the tasks of a step took. */
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -73,6 +73,10 @@
         m_fillerDemand = Millicores(m_fillerDemand.value() + sign * need.processors.value());
         need.processors = Millicores(0);
     }
+    if (run.isServing()) {
+        m_servingDemand = Millicores(m_servingDemand.value() + sign * need.processors.value());
+        m_servingRuns += static_cast<std::uint32_t>(sign);
+    }
     if (sign > 0) {
         m_held += need;
     } else {
@@ -230,8 +234,7 @@
 
 Milliseconds WorkerLink::lookWait() const
 {
-    const bool isServing = std::ranges::any_of(m_runs, [](const auto &entry) { return entry.second.isServing(); });
-    return isServing ? m_timing.servingLookWait : m_timing.lookWait;
+    return m_servingRuns > 0 ? m_timing.servingLookWait : m_timing.lookWait;
 }
 
 void WorkerLink::look(Milliseconds wait)
@@ -558,6 +561,16 @@
     return m_fillerDemand;
 }
 
+std::uint32_t WorkerLink::servingRuns() const
+{
+    return m_servingRuns;
+}
+
+Millicores WorkerLink::servingDemand() const
+{
+    return m_servingDemand;
+}
+
 bool WorkerLink::holdsUnknown() const
 {
     return m_unknownRuns > 0;
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -109,6 +109,9 @@
     [[nodiscard]] Resources held() const;
     /** Processors that the fillers would use. */
     [[nodiscard]] Millicores fillerDemand() const;
+    /** Tasks here that serve users, and the processors that they hold. */
+    [[nodiscard]] std::uint32_t servingRuns() const;
+    [[nodiscard]] Millicores servingDemand() const;
     /** Whether a run of unknown size holds room. */
     [[nodiscard]] bool holdsUnknown() const;
 
@@ -171,6 +174,8 @@
     std::map<RunRef, LiveRun> m_runs;
     Resources m_held;
     Millicores m_fillerDemand;
+    Millicores m_servingDemand;
+    std::uint32_t m_servingRuns = 0;
     std::uint32_t m_unknownRuns = 0;
 
     void hold(const LiveRun &run, int sign);
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -109,6 +109,7 @@
         made->worker =
             std::make_unique<VirtualWorker>(entry, m_now, offset, [this](const WorkerFact &fact) { noteFact(fact); });
         m_judge.noteWorker(entry);
+        m_placeOf[made->worker->entry().id] = made.get();
         m_places.push_back(std::move(made));
         listWorker(entry.id, true);
     }
@@ -146,13 +147,7 @@
     options.processors = Millicores(250);
     options.nonce = m_random();
     host.node = std::make_unique<JobNode>(
-        options,
-        testFormats(m_configuration,
-                    [this](const std::string &id) {
-                        const auto found = std::ranges::find_if(
-                            m_places, [&id](const auto &known) { return known->worker->entry().id.value() == id; });
-                        return found == m_places.end() ? nullptr : &(*found)->worker->entry();
-                    }),
+        options, testFormats(m_configuration, [this](const std::string &id) { return entryOf(WorkerId(id)); }),
         *host.context);
     host.node->start();
 }
@@ -332,9 +327,7 @@
         finish(tl::unexpected(WorkerRefusal { failure, {} }));
     };
     at(m_now + timeout, [fail] { fail(WorkerFailure::Unknown); });
-    const bool isKnown =
-        std::ranges::any_of(m_places, [&worker](const auto &known) { return known->worker->entry().id == worker; });
-    if (!isKnown) {
+    if (entryOf(worker) == nullptr) {
         at(m_now, [fail] { fail(WorkerFailure::NotSent); });
         return;
     }
@@ -826,8 +819,13 @@
 
 VirtualSite::Place &VirtualSite::place(const WorkerId &worker) const
 {
-    return **std::ranges::find_if(m_places,
-                                  [&worker](const auto &known) { return known->worker->entry().id == worker; });
+    return *m_placeOf.at(worker);
+}
+
+const WorkerEntry *VirtualSite::entryOf(const WorkerId &worker) const
+{
+    const auto found = m_placeOf.find(worker);
+    return found == m_placeOf.end() ? nullptr : &found->second->worker->entry();
 }
 
 JobSpec batchJob(std::uint64_t number, std::uint32_t steps, std::uint32_t width, Milliseconds work,
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -164,6 +164,8 @@
     void sendPeer(Host &host, const HostId &to, const JobMessage &message);
     Host &find(const HostId &host) const;
     Place &place(const WorkerId &worker) const;
+    /** What the list would say of the worker; null when there is none of that name. */
+    [[nodiscard]] const WorkerEntry *entryOf(const WorkerId &worker) const;
     [[nodiscard]] Milliseconds latency();
     void log(const Host &host, const LogEvent &event);
 
@@ -177,6 +179,7 @@
     SiteConfiguration m_configuration;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::vector<std::unique_ptr<Place>> m_places;
+    std::map<WorkerId, Place *> m_placeOf;
     std::vector<Watch> m_watches;
     std::vector<Hold> m_holds;
     std::set<std::pair<HostId, HostId>> m_hostCuts;
