Read the clocks when an answer has come, so that no lease seems over too soon

Its log showed runs given up as lease-over, on workers whose lease still ran: the process read its clocks once when it woke up, and took a worker's clock reading, which it received a second later in the same round, for one of that moment. So it believed the worker's clock to be ahead, and the lease over, by as much. Ruled out: the worker's lease itself, the looks' extensions (all are counted), a second writer (there was one). Change: decisions run at the time at which their answer is there, which the driver reads after the bytes were received. The virtual site can starve a host of processor time. Seen: the new test fails without the change (one task on two workers) and passes with it.

--- a/src/libjobs/jobcontext.cpp
+++ b/src/libjobs/jobcontext.cpp
@@ -27,12 +27,24 @@
     return m_random;
 }
 
-void JobContext::callStore(KvRequest request, Milliseconds timeout, JobDriver::KvHandler then)
+/** Runs @p then at the time at which its answer is there, not at that at which the process woke up. */
+template<typename Result>
+std::function<void(const Result &)> JobContext::inTime(std::function<void(const Result &)> then)
 {
-    m_driver.callStore(std::move(request), timeout, [this, then = std::move(then)](const KvResult &result) {
-        noteStore(result);
+    return [this, then = std::move(then)](const Result &result) {
+        const JobTime time = m_driver.readTime();
+        setTime(time.now, time.wallNow);
         then(result);
-    });
+    };
+}
+
+void JobContext::callStore(KvRequest request, Milliseconds timeout, JobDriver::KvHandler then)
+{
+    m_driver.callStore(std::move(request), timeout,
+                       inTime<KvResult>([this, then = std::move(then)](const KvResult &result) {
+                           noteStore(result);
+                           then(result);
+                       }));
 }
 
 void JobContext::noteStore(const KvResult &result)
@@ -59,13 +71,13 @@
 void JobContext::callWorker(const WorkerId &worker, const Address &address, WorkerOrder order, Milliseconds timeout,
                             JobDriver::WorkerHandler then)
 {
-    m_driver.callWorker(worker, address, std::move(order), timeout, std::move(then));
+    m_driver.callWorker(worker, address, std::move(order), timeout, inTime(std::move(then)));
 }
 
 void JobContext::askAdmission(const StepRef &step, const std::vector<WorkerId> &workers, Milliseconds timeout,
                               JobDriver::AdmissionHandler then)
 {
-    m_driver.askAdmission(step, workers, timeout, std::move(then));
+    m_driver.askAdmission(step, workers, timeout, inTime(std::move(then)));
 }
 
 void JobContext::sendPeer(const HostId &to, const JobMessage &message)
--- a/src/libjobs/jobcontext.h
+++ b/src/libjobs/jobcontext.h
@@ -20,6 +20,13 @@
 
 namespace currantring {
 
+/** The clocks of a host at one moment. */
+struct JobTime
+{
+    TimePoint now;
+    WallTime wallNow;
+};
+
 /** The outside world of decision code: a driver on real sockets, or a test in virtual time. */
 struct JobDriver
 {
@@ -27,6 +34,11 @@
     using WorkerHandler = std::function<void(const WorkerResult &)>;
     using AdmissionHandler = std::function<void(const AdmissionResult &)>;
 
+    /**
+     * Reads the clocks. Asked when an answer has come: what it tells of happened before that moment, however long the
+     * process was kept from running.
+     */
+    std::function<JobTime()> readTime;
     /** Each handler runs once, later than the call that it was given to. */
     std::function<void(KvRequest request, Milliseconds timeout, KvHandler then)> callStore;
     std::function<void(const WorkerId &worker, const Address &address, WorkerOrder order, Milliseconds timeout,
@@ -93,6 +105,8 @@
 
 private:
     void noteStore(const KvResult &result);
+    template<typename Result>
+    std::function<void(const Result &)> inTime(std::function<void(const Result &)> then);
 
     TimePoint m_now {};
     WallTime m_wallNow {};
--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -86,6 +86,32 @@
     BOOST_TEST(site.runUntil([&site] { return site.logCount(events::shardActive) == 2; }, Milliseconds(4000)));
 }
 
+BOOST_AUTO_TEST_CASE(aWriterShortOfProcessorTimeDoesNotTakeALeaseForOverTooSoon)
+{
+    // The writer looks for leases that are over at moments that depend on the length of its rounds.
+    for (Milliseconds round(300); round <= Milliseconds(900); round += Milliseconds(50)) {
+        VirtualSiteOptions options;
+        options.hosts = 1;
+        options.workers = 2;
+        VirtualSite site(options);
+        site.run(startTime);
+        BOOST_TEST(site.submit(batchJob(1, 1, 1, Milliseconds(9000))));
+        site.run(Milliseconds(1000));
+        const std::vector<WorkerId> workers = site.workers();
+        const auto placed = std::ranges::find_if(
+            workers, [&site](const WorkerId &worker) { return site.worker(worker).runningCount() == 1; });
+        BOOST_REQUIRE((placed != workers.end()));
+        site.starveHost(site.hosts().front(), round);
+        site.run(Milliseconds(2500));
+        site.cutWorkerFromAll(*placed, true);
+        site.run(Milliseconds(1000));
+        site.starveHost(site.hosts().front(), Milliseconds(0));
+        site.run(Milliseconds(11'000));
+        BOOST_TEST(site.judge().starts() == 2U);
+        requireNoViolations(site);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aLastingTaskThatIsSlowToStartIsLetCome)
 {
     VirtualSite site({});
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -52,7 +52,14 @@
     std::uint64_t process = 0;
     bool isAlive = false;
     bool isPaused = false;
+    /** Not zero when the process is short of processor time. */
+    Milliseconds round {};
     Milliseconds wallOffset {};
+
+    [[nodiscard]] bool isInTime() const
+    {
+        return isAlive && !isPaused && round.count() == 0;
+    }
     StoreTrouble storeTrouble = StoreTrouble::None;
     TimePoint startedAt {};
     std::unique_ptr<JobContext> context;
@@ -140,7 +147,7 @@
     host.links.clear();
     host.node.reset();
     host.context = std::make_unique<JobContext>(m_random(), makeDriver(host, host.process));
-    host.context->setTime(m_now, WallTime(wallStart + m_now.time_since_epoch().count() + host.wallOffset.count()));
+    host.context->setTime(m_now, wallOn(host, m_now));
     JobNodeOptions options;
     options.self = host.id;
     options.peerAddress = host.address;
@@ -155,6 +162,9 @@
 JobDriver VirtualSite::makeDriver(Host &host, std::uint64_t process)
 {
     JobDriver driver;
+    driver.readTime = [this, &host] {
+        return JobTime { m_now, wallOn(host, m_now) };
+    };
     driver.callStore = [this, &host, process](const KvRequest &request, Milliseconds timeout,
                                               const JobDriver::KvHandler &then) {
         callStore(host, process, request, timeout, then);
@@ -257,14 +267,19 @@
     if (host.process != process || !host.isAlive) {
         return;
     }
-    if (host.isPaused) {
+    if (!host.isInTime()) {
         host.inbox.push_back(std::move(body));
         return;
     }
-    host.context->setTime(m_now, WallTime(wallStart + m_now.time_since_epoch().count() + host.wallOffset.count()));
+    host.context->setTime(m_now, wallOn(host, m_now));
     body();
 }
 
+WallTime VirtualSite::wallOn(const Host &host, TimePoint when) const
+{
+    return WallTime(wallStart + when.time_since_epoch().count() + host.wallOffset.count());
+}
+
 Milliseconds VirtualSite::latency()
 {
     return Milliseconds(1 + static_cast<std::int64_t>(uniformBelow(m_random, 3)));
@@ -427,7 +442,7 @@
         next = std::min(next, m_events.top().at);
     }
     for (const auto &host : m_hosts) {
-        if (host->isAlive && !host->isPaused) {
+        if (host->isInTime()) {
             next = std::min(next, host->context->nextTimer().value_or(next));
         }
     }
@@ -457,9 +472,8 @@
     settle();
     for (std::size_t index = 0; index < m_hosts.size(); ++index) {
         Host &host = *m_hosts[index];
-        if (host.isAlive && !host.isPaused) {
-            host.context->advance(m_now,
-                                  WallTime(wallStart + m_now.time_since_epoch().count() + host.wallOffset.count()));
+        if (host.isInTime()) {
+            host.context->advance(m_now, wallOn(host, m_now));
         }
     }
 }
@@ -596,6 +610,11 @@
 {
     Host &host = find(id);
     host.isPaused = false;
+    emptyInbox(host);
+}
+
+void VirtualSite::emptyInbox(Host &host)
+{
     std::vector<std::function<void()>> inbox;
     inbox.swap(host.inbox);
     for (std::function<void()> &body : inbox) {
@@ -603,6 +622,33 @@
     }
 }
 
+void VirtualSite::starveHost(const HostId &id, Milliseconds round)
+{
+    Host &host = find(id);
+    host.round = round;
+    if (round.count() == 0) {
+        emptyInbox(host);
+        return;
+    }
+    at(m_now + round, [this, &host, process = host.process] { playRound(host, process); });
+}
+
+void VirtualSite::playRound(Host &host, std::uint64_t process)
+{
+    if (!host.isAlive || host.process != process || host.round.count() == 0) {
+        return;
+    }
+    const TimePoint wokenAt = m_now - host.round;
+    host.context->setTime(wokenAt, wallOn(host, wokenAt));
+    std::vector<std::function<void()>> inbox;
+    inbox.swap(host.inbox);
+    for (const std::function<void()> &body : inbox) {
+        body();
+    }
+    host.context->advance(host.context->now(), wallOn(host, wokenAt));
+    at(m_now + host.round, [this, &host, process] { playRound(host, process); });
+}
+
 void VirtualSite::stopHost(const HostId &id)
 {
     Host &host = find(id);
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -78,6 +78,11 @@
     HostId addHost();
     void pauseHost(const HostId &host);
     void resumeHost(const HostId &host);
+    /**
+     * The process is short of processor time: it comes to act once in each @p round only, on all that has come
+     * meanwhile, and woke up at the round's beginning. With a round of zero it has all the time that it needs again.
+     */
+    void starveHost(const HostId &host, Milliseconds round);
     /** A planned stop; the process ends by itself. */
     void stopHost(const HostId &host);
     void stepWallClock(const HostId &host, Milliseconds by);
@@ -152,6 +157,9 @@
     void settleGangs();
     void startProcess(Host &host);
     JobDriver makeDriver(Host &host, std::uint64_t process);
+    void playRound(Host &host, std::uint64_t process);
+    void emptyInbox(Host &host);
+    [[nodiscard]] WallTime wallOn(const Host &host, TimePoint when) const;
     /** Runs @p body in the process's turn, or when it is resumed; never when it has ended. */
     void deliver(Host &host, std::uint64_t process, std::function<void()> body);
     void callStore(Host &host, std::uint64_t process, const KvRequest &request, Milliseconds timeout,
