Split the worker's lease and its held room from its link, and the virtual site by what its parts do

Cause: workerlink.cpp (580 lines) did three things, virtualsite.cpp (950) four; three methods had no reader. Change: WorkerLease and HeldRoom with tables of their own; virtualsite, its wires, its faults and its jobs in files of their own; slotCount, lastAnswer, waitingCalls and CallGateway::waiting are gone. Behaviour is the same. Seen: test-libjobs passes.

--- a/bench/sitebench.cpp
+++ b/bench/sitebench.cpp
@@ -2,6 +2,7 @@
  * Plays a site of many workers in virtual time and tells the processor time that its decisions take: the slope behind
  * docs/CAPACITY.md. Arguments: workers, seconds.
  */
+#include "virtualjobs.h"
 #include "virtualsite.h"
 
 #include <cstdlib>
--- a/src/libjobs/callgateway.cpp
+++ b/src/libjobs/callgateway.cpp
@@ -127,9 +127,4 @@
     }
 }
 
-std::size_t CallGateway::waiting() const
-{
-    return m_pending.size();
-}
-
 } // namespace currantring
--- a/src/libjobs/callgateway.h
+++ b/src/libjobs/callgateway.h
@@ -34,7 +34,6 @@
     void resend();
     /** The caller is gone. */
     void forget(CallerToken caller);
-    [[nodiscard]] std::size_t waiting() const;
 
 private:
     struct Pending
--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -361,9 +361,4 @@
     return commitAge() > std::clamp(m_usualCommit * stuckFactor, leastStuckAge, mostStuckAge);
 }
 
-std::size_t JobLog::slotCount() const
-{
-    return m_nextSlot - m_firstSlot;
-}
-
 } // namespace currantring
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -74,7 +74,6 @@
     [[nodiscard]] Milliseconds commitAge() const;
     /** Whether the commit under way takes much longer than they usually do. */
     [[nodiscard]] bool isStuck() const;
-    [[nodiscard]] std::size_t slotCount() const;
 
 private:
     struct Group
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -390,9 +390,4 @@
     return m_writer != nullptr;
 }
 
-std::size_t JobNode::waitingCalls() const
-{
-    return m_gateway.waiting();
-}
-
 } // namespace currantring
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -53,8 +53,6 @@
     /** Whether callers should be sent to this host. */
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool isWriter() const;
-    /** Calls that wait for the writer's answer. */
-    [[nodiscard]] std::size_t waitingCalls() const;
 
 private:
     struct Peer
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -35,7 +35,7 @@
 double freePart(const WorkerLink &link)
 {
     const auto capacity = static_cast<double>(link.entry().capacity.processors.value());
-    return 1 - static_cast<double>(link.held().processors.value()) / capacity;
+    return 1 - static_cast<double>(link.room().held().processors.value()) / capacity;
 }
 
 std::uint32_t tasksOfStep(const WorkerLink &link, const StepRef &step)
@@ -51,10 +51,10 @@
 /** How many times over the fillers would use the processors that are left to them. */
 double crowdingWith(const StepSpec &filler, const WorkerLink &link)
 {
-    const auto servers = static_cast<double>(link.servingDemand().value());
-    const double others = static_cast<double>(link.held().processors.value()) - servers;
+    const auto servers = static_cast<double>(link.room().servingDemand().value());
+    const double others = static_cast<double>(link.room().held().processors.value()) - servers;
     const double unused = static_cast<double>(link.entry().capacity.processors.value()) - others - servers * servingUse;
-    const auto demand = static_cast<double>(link.fillerDemand().value() + filler.need.processors.value());
+    const auto demand = static_cast<double>(link.room().fillerDemand().value() + filler.need.processors.value());
     return demand / std::max(unused, leastUnused);
 }
 
@@ -102,7 +102,8 @@
     std::map<Label, std::int64_t> free;
     for (const auto &[id, link] : m_fleet.links()) {
         if (link->entry().service == service && m_fleet.takesWork(*link)) {
-            free[link->entry().rack] += (link->entry().capacity.processors.value() - link->held().processors.value());
+            free[link->entry().rack] +=
+                (link->entry().capacity.processors.value() - link->room().held().processors.value());
         }
     }
     std::vector<std::pair<std::int64_t, Label>> sorted;
@@ -174,7 +175,7 @@
     if (step.isFiller) {
         need.processors = Millicores(0);
     }
-    if (!(entry.capacity - link.held()).covers(need)) {
+    if (!(entry.capacity - link.room().held()).covers(need)) {
         return false;
     }
     return step.spreadLimit == 0 || tasksOfStep(link, wish.ref) < step.spreadLimit;
@@ -192,7 +193,7 @@
 std::optional<double> RunPlacer::fillerCost(const WorkerLink &link, const PlacementWish &wish) const
 {
     const double crowding = crowdingWith(wish.step, link);
-    if (crowding > mostCrowding && link.fillerDemand().value() > 0) {
+    if (crowding > mostCrowding && link.room().fillerDemand().value() > 0) {
         return std::nullopt;
     }
     double disturbance = 0;
@@ -237,8 +238,8 @@
 double RunPlacer::plainCost(const WorkerLink &link)
 {
     const auto capacity = static_cast<double>(link.entry().capacity.processors.value());
-    return freePart(link) + static_cast<double>(link.fillerDemand().value()) / capacity
-        - (link.servingRuns() > 0 ? 1.0 : 0.0);
+    return freePart(link) + static_cast<double>(link.room().fillerDemand().value()) / capacity
+        - (link.room().servingRuns() > 0 ? 1.0 : 0.0);
 }
 
 } // namespace currantring
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -285,8 +285,8 @@
                           { "run", std::to_string(run.ref.number.value()) },
                           { "worker", worker.value() },
                           { "image", run.step->image.value() },
-                          { "held", std::to_string(choice.link->held().processors.value()) },
-                          { "fill", std::to_string(choice.link->fillerDemand().value()) } });
+                          { "held", std::to_string(choice.link->room().held().processors.value()) },
+                          { "fill", std::to_string(choice.link->room().fillerDemand().value()) } });
     m_parts.log.append(RunPlaced { run.ref, worker, choice.link->life() }, RecordUrgency::Urgent,
                        m_lifetime.guard([this, started = run.ref, worker] { start(started, worker); }));
 }
--- a/src/libjobs/workerfleet.cpp
+++ b/src/libjobs/workerfleet.cpp
@@ -80,7 +80,8 @@
 bool WorkerFleet::takesWork(const WorkerLink &link) const
 {
     const bool isNamed = link.isListed() || m_context.now() - link.unlistedSince() < unlistedGrace;
-    return isNamed && link.isReachable() && !link.holdsUnknown() && link.entry().standing == WorkerStanding::Ready;
+    return isNamed && link.isReachable() && !link.room().holdsUnknown()
+        && link.entry().standing == WorkerStanding::Ready;
 }
 
 void WorkerFleet::take(const KvEntry &entry)
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -18,17 +18,9 @@
 constexpr Milliseconds lookRetryDelay { 250 };
 /** While ends wait to be recorded, the lease is renewed in these intervals. */
 constexpr Milliseconds renewalInterval { 700 };
-/** A worker's clock may be slow by this share; times on it pass later by so much. */
-constexpr double clockSlowness = 0.02;
-constexpr Milliseconds leaseMargin { 50 };
 constexpr std::int64_t wholePace = 100;
 constexpr std::int64_t paceStep = 10;
 
-Milliseconds onSlowClock(Milliseconds duration)
-{
-    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) / (1 - clockSlowness)));
-}
-
 } // namespace
 
 WorkerLink::WorkerLink(WorkerEntry entry, WriterToken token, WorkerTiming timing, TimePoint inheritedUntil,
@@ -36,10 +28,10 @@
     : m_entry(std::move(entry))
     , m_token(token)
     , m_timing(timing)
-    , m_inheritedUntil(inheritedUntil)
     , m_context(context)
     , m_handlers(std::move(handlers))
     , m_life(m_entry.life)
+    , m_lease(timing.longestLease, inheritedUntil)
 {
 }
 
@@ -62,33 +54,11 @@
     m_isListed = isListed;
 }
 
-void WorkerLink::hold(const LiveRun &run, int sign)
-{
-    if (!run.step) {
-        m_unknownRuns += static_cast<std::uint32_t>(sign);
-        return;
-    }
-    Resources need = run.step->need;
-    if (run.step->isFiller) {
-        m_fillerDemand = Millicores(m_fillerDemand.value() + sign * need.processors.value());
-        need.processors = Millicores(0);
-    }
-    if (run.isServing()) {
-        m_servingDemand = Millicores(m_servingDemand.value() + sign * need.processors.value());
-        m_servingRuns += static_cast<std::uint32_t>(sign);
-    }
-    if (sign > 0) {
-        m_held += need;
-    } else {
-        m_held -= need;
-    }
-}
-
 LiveRun WorkerLink::take(std::map<RunRef, LiveRun>::iterator place)
 {
     LiveRun run = std::move(place->second);
     m_runs.erase(place);
-    hold(run, -1);
+    m_room.remove(run);
     return run;
 }
 
@@ -97,7 +67,7 @@
     // One that never began, or began in an earlier life, is found absent by the first look.
     run.phase = RunPhase::Inherited;
     run.placedAt = m_context.now();
-    hold(run, 1);
+    m_room.add(run);
     m_runs.emplace(run.ref, std::move(run));
 }
 
@@ -106,7 +76,7 @@
     run.phase = RunPhase::Committing;
     run.placedAt = m_context.now();
     run.progressAt = m_context.now();
-    hold(run, 1);
+    m_room.add(run);
     m_runs.emplace(run.ref, std::move(run));
 }
 
@@ -125,8 +95,8 @@
     }
     LiveRun &live = place->second;
     live.phase = RunPhase::Starting;
-    live.startBy = WorkerTime(clockNow().value() + startWindow.count());
-    m_leaseUntil = std::max(m_leaseUntil.value_or(live.startBy), live.startBy);
+    live.startBy = WorkerTime(m_lease.clockAt(m_context.now()).value() + startWindow.count());
+    m_lease.noteGrant(live.startBy);
     order(StartOrder { m_token, run, std::move(payload), resumeFrom, live.startBy, std::move(ticket) },
           m_lifetime.guard([this, run](const WorkerResult &result) { handleStart(run, result); }));
 }
@@ -134,7 +104,7 @@
 void WorkerLink::handleStart(const RunRef &run, const WorkerResult &result)
 {
     if (result) {
-        noteClock(result->clock);
+        m_lease.noteClock(result->clock, m_context.now());
     }
     const auto place = m_runs.find(run);
     if (place == m_runs.end()) {
@@ -192,7 +162,7 @@
         return;
     }
     if (result) {
-        noteClock(result->clock);
+        m_lease.noteClock(result->clock, m_context.now());
         // Whatever was under way, it won't start any more.
         place->second.settledAt = m_context.now();
         place->second.phase = RunPhase::Stopping;
@@ -234,7 +204,7 @@
 
 Milliseconds WorkerLink::lookWait() const
 {
-    return m_servingRuns > 0 ? m_timing.servingLookWait : m_timing.lookWait;
+    return m_room.servingRuns() > 0 ? m_timing.servingLookWait : m_timing.lookWait;
 }
 
 void WorkerLink::look(Milliseconds wait)
@@ -251,9 +221,9 @@
         look.acknowledged = m_acknowledged;
     }
     // A worker that doesn't answer would never be given up if each try might extend its lease.
-    if (m_clock && m_failedLooks == 0 && m_handlers.mayExtendLease()) {
-        look.leaseUntil = WorkerTime(clockNow().value() + m_timing.lease.count());
-        m_leaseUntil = std::max(m_leaseUntil.value_or(*look.leaseUntil), *look.leaseUntil);
+    if (m_lease.knowsClock() && m_failedLooks == 0 && m_handlers.mayExtendLease()) {
+        look.leaseUntil = WorkerTime(m_lease.clockAt(m_context.now()).value() + m_timing.lease.count());
+        m_lease.noteGrant(*look.leaseUntil);
     }
     ++m_round;
     m_context.callWorker(
@@ -276,25 +246,21 @@
 
 void WorkerLink::takeAnswer(TimePoint sentAt, const WorkerAnswer &answer)
 {
-    const bool wasExtended = m_clock && m_failedLooks == 0;
+    const bool wasExtended = m_lease.knowsClock() && m_failedLooks == 0;
     m_failedLooks = 0;
-    m_lastAnswer = m_context.now();
     if (answer.life && *answer.life != m_life) {
         m_context.log(LogLevel::Info, events::workerNewLife,
                       { { "worker", m_entry.id.value() }, { "life", std::to_string(answer.life->value()) } });
         m_life = *answer.life;
-        m_leaseUntil.reset();
-    }
-    if (!m_leaseUntil) {
-        // What an earlier writer may have granted, or an order that reached this life.
-        m_leaseUntil = WorkerTime(answer.clock.value() + m_timing.longestLease.count());
+        m_lease.beginLife();
     }
+    m_lease.noteAnswer(answer.clock);
     if (m_channel != answer.channel) {
         m_channel = answer.channel;
         m_acknowledged = EndNumber(0);
         m_told = EndNumber(0);
     }
-    noteClock(answer.clock);
+    m_lease.noteClock(answer.clock, m_context.now());
     takeRunning(answer);
     takeEnded(answer);
     dropAbsent(sentAt, answer);
@@ -386,7 +352,7 @@
     run.step = m_handlers.describeRun(row.run.task);
     run.phase = RunPhase::Stopping;
     run.settledAt = m_context.now();
-    hold(run, 1);
+    m_room.add(run);
     m_runs.emplace(run.ref, std::move(run));
     sendStop(row.run);
 }
@@ -468,8 +434,7 @@
     if (m_isReachable || m_runs.empty()) {
         return;
     }
-    const TimePoint over = leaseOverAt();
-    if (m_context.now() < over) {
+    if (m_context.now() < m_lease.overAt()) {
         return;
     }
     std::vector<RunRef> lost;
@@ -483,26 +448,6 @@
     }
 }
 
-TimePoint WorkerLink::leaseOverAt() const
-{
-    TimePoint over = m_lastAnswer ? TimePoint {} : m_inheritedUntil;
-    if (m_clock && m_leaseUntil) {
-        const Milliseconds left(m_leaseUntil->value() - m_clock->clock.value());
-        over = std::max(over, m_clock->at + onSlowClock(std::max(left, Milliseconds(0))));
-    }
-    return over + leaseMargin;
-}
-
-void WorkerLink::noteClock(WorkerTime clock)
-{
-    m_clock = ClockSample { clock, m_context.now() };
-}
-
-WorkerTime WorkerLink::clockNow() const
-{
-    return m_clock ? WorkerTime(m_clock->clock.value() + (m_context.now() - m_clock->at).count()) : WorkerTime(0);
-}
-
 void WorkerLink::setReachable(bool isReachable, std::string_view reason)
 {
     if (isReachable == m_isReachable) {
@@ -546,34 +491,9 @@
     return m_unlistedSince;
 }
 
-std::optional<TimePoint> WorkerLink::lastAnswer() const
-{
-    return m_lastAnswer;
-}
-
-Resources WorkerLink::held() const
-{
-    return m_held;
-}
-
-Millicores WorkerLink::fillerDemand() const
-{
-    return m_fillerDemand;
-}
-
-std::uint32_t WorkerLink::servingRuns() const
-{
-    return m_servingRuns;
-}
-
-Millicores WorkerLink::servingDemand() const
-{
-    return m_servingDemand;
-}
-
-bool WorkerLink::holdsUnknown() const
+const HeldRoom &WorkerLink::room() const
 {
-    return m_unknownRuns > 0;
+    return m_room;
 }
 
 } // namespace currantring
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "heldroom.h"
 #include "jobcontext.h"
 #include "lifetime.h"
 #include "liverun.h"
 #include "workerentry.h"
+#include "workerlease.h"
 
 #include <functional>
 #include <map>
@@ -103,17 +105,8 @@
     [[nodiscard]] bool isListed() const;
     /** Since when the platform's list hasn't named the worker. */
     [[nodiscard]] TimePoint unlistedSince() const;
-    /** When the worker last answered; nullopt when it never has. */
-    [[nodiscard]] std::optional<TimePoint> lastAnswer() const;
-    /** Room that is held: processors of tasks that are no fillers, memory and accelerators of all. */
-    [[nodiscard]] Resources held() const;
-    /** Processors that the fillers would use. */
-    [[nodiscard]] Millicores fillerDemand() const;
-    /** Tasks here that serve users, and the processors that they hold. */
-    [[nodiscard]] std::uint32_t servingRuns() const;
-    [[nodiscard]] Millicores servingDemand() const;
-    /** Whether a run of unknown size holds room. */
-    [[nodiscard]] bool holdsUnknown() const;
+    /** What the runs hold. */
+    [[nodiscard]] const HeldRoom &room() const;
 
 private:
     void look(Milliseconds wait);
@@ -131,36 +124,24 @@
     void handleStart(const RunRef &run, const WorkerResult &result);
     void sendStop(const RunRef &run);
     void handleStop(const RunRef &run, const WorkerResult &result);
-    void noteClock(WorkerTime clock);
     void setReachable(bool isReachable, std::string_view reason);
-    [[nodiscard]] WorkerTime clockNow() const;
-    [[nodiscard]] TimePoint leaseOverAt() const;
     void lose(const RunRef &run, std::string_view reason);
     void order(WorkerOrder order, JobDriver::WorkerHandler then);
     [[nodiscard]] Milliseconds lookWait() const;
-
-    struct ClockSample
-    {
-        WorkerTime clock;
-        TimePoint at;
-    };
+    LiveRun take(std::map<RunRef, LiveRun>::iterator place);
 
     WorkerEntry m_entry;
     WriterToken m_token;
     WorkerTiming m_timing;
-    TimePoint m_inheritedUntil;
     JobContext &m_context;
     Handlers m_handlers;
     Lifetime m_lifetime;
     bool m_isListed = true;
     TimePoint m_unlistedSince {};
     bool m_isReachable = false;
-    std::optional<TimePoint> m_lastAnswer;
-    std::optional<ClockSample> m_clock;
     /** The life of the latest answer; that of the list's entry before. */
     WorkerLife m_life;
-    /** Greatest lease that may have been granted by this writer, on the worker's clock. */
-    std::optional<WorkerTime> m_leaseUntil;
+    WorkerLease m_lease;
     /** Ends up to here were told to the owner. */
     EndNumber m_told;
     /** Ends up to here are on record. */
@@ -172,14 +153,7 @@
     std::optional<TimerId> m_lookTimer;
     std::uint32_t m_failedLooks = 0;
     std::map<RunRef, LiveRun> m_runs;
-    Resources m_held;
-    Millicores m_fillerDemand;
-    Millicores m_servingDemand;
-    std::uint32_t m_servingRuns = 0;
-    std::uint32_t m_unknownRuns = 0;
-
-    void hold(const LiveRun &run, int sign);
-    LiveRun take(std::map<RunRef, LiveRun>::iterator place);
+    HeldRoom m_room;
 };
 
 } // namespace currantring
--- a/tests/libjobs/testanswers.cpp
+++ b/tests/libjobs/testanswers.cpp
@@ -1,3 +1,4 @@
+#include "virtualjobs.h"
 #include "virtualsite.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/libjobs/testevents.cpp
+++ b/tests/libjobs/testevents.cpp
@@ -1,3 +1,4 @@
+#include "virtualjobs.h"
 #include "virtualsite.h"
 
 #include <fstream>
--- a/tests/libjobs/testkinds.cpp
+++ b/tests/libjobs/testkinds.cpp
@@ -1,4 +1,5 @@
 #include "jobevents.h"
+#include "virtualjobs.h"
 #include "virtualsite.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/libjobs/virtualcustomers.cpp
+++ b/tests/libjobs/virtualcustomers.cpp
@@ -1,4 +1,5 @@
 #include "virtualcustomers.h"
+#include "virtualjobs.h"
 
 #include <algorithm>
 
