Let the largest host succeed the writer

Hosts tried to claim up to 60 ms later for a whole processor that they lack, 23 ms between 0.5 and 0.12, under a random spread of 60 ms. Change: the writer's beats tell the processors of the largest other host that it hears; each host waits 500 ms for each processor that it has less than that one, so that equal hosts lose no time.

--- a/src/libjobs/jobmessage.cpp
+++ b/src/libjobs/jobmessage.cpp
@@ -51,8 +51,8 @@
     }
     json operator()(const WriterBeat &beat) const
     {
-        return json::array(
-            { WriterBeatKind, beat.token.value(), beat.address.value(), beat.configuration.value(), beat.isStuck });
+        return json::array({ WriterBeatKind, beat.token.value(), beat.address.value(), beat.configuration.value(),
+                             beat.isStuck, beat.mostProcessors.value() });
     }
     json operator()(const ConfigurationOffer &offer) const
     {
@@ -101,7 +101,8 @@
                           source.at(6).get<bool>() };
     case WriterBeatKind:
         return WriterBeat { WriterToken(source.at(1).get<std::uint64_t>()), Address(source.at(2).get<std::string>()),
-                            ConfigurationVersion(source.at(3).get<std::uint64_t>()), source.at(4).get<bool>() };
+                            ConfigurationVersion(source.at(3).get<std::uint64_t>()), source.at(4).get<bool>(),
+                            Millicores(source.at(5).get<std::int64_t>()) };
     case OfferKind: {
         const json::binary_t &text = source.at(1).get_binary();
         return ConfigurationOffer { std::string(text.begin(), text.end()) };
--- a/src/libjobs/jobmessage.h
+++ b/src/libjobs/jobmessage.h
@@ -35,6 +35,8 @@
     ConfigurationVersion configuration;
     /** The writer has waited long for the store, and another host may do better. */
     bool isStuck = false;
+    /** Processors of the largest other host that the writer hears. */
+    Millicores mostProcessors;
 };
 
 /** A configuration that the receiver hasn't got yet, as the store holds it. */
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -175,12 +175,23 @@
     m_election.setYielding(!hearsMostHosts());
     const WriterBeat beat { WriterToken(m_election.claim()->token), m_options.peerAddress,
                             m_configuration ? m_configuration->version : ConfigurationVersion(0),
-                            m_writer->commitAge() > stuckAge };
+                            m_writer->commitAge() > stuckAge, mostProcessors() };
     for (const auto &[host, peer] : m_peers) {
         m_context.sendPeer(host, beat);
     }
 }
 
+Millicores JobNode::mostProcessors() const
+{
+    Millicores most;
+    for (const auto &[host, peer] : m_peers) {
+        if (peer.lastBeat && m_context.now() - *peer.lastBeat < hostSilence && !peer.beat.isLeaving) {
+            most = std::max(most, peer.beat.processors);
+        }
+    }
+    return most;
+}
+
 void JobNode::claimed(WriterToken token)
 {
     m_claimedAt = m_context.now();
@@ -293,6 +304,7 @@
     if (!isKnown || m_writer) {
         return;
     }
+    m_election.noteMostProcessors(beat.mostProcessors);
     const bool wasHeard = hearsWriter();
     m_lastWriterBeat = m_context.now();
     if (!wasHeard) {
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -75,6 +75,8 @@
     bool sendCall(ForwardNumber number, const CallerCall &call, Milliseconds timeLeft);
     void handOver(const std::function<void()> &then);
     [[nodiscard]] std::optional<HostId> chooseSuccessor() const;
+    /** Processors of the largest other host that is heard and stays. */
+    [[nodiscard]] Millicores mostProcessors() const;
     [[nodiscard]] bool hearsWriter() const;
     [[nodiscard]] bool hearsMostHosts() const;
 
--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -15,8 +15,10 @@
 constexpr Milliseconds beatSilence { 900 };
 /** Spread of the hosts' first tries. */
 constexpr std::int64_t claimSpreadMs = 60;
-constexpr std::int64_t slownessSpreadMs = 60;
-constexpr std::int64_t fullProcessor = 1000;
+/** How much later a host tries for each processor that it lacks: against a whole one, and against the largest host. */
+constexpr std::int64_t slownessMs = 60;
+constexpr std::int64_t lessThanLargestMs = 500;
+constexpr Millicores wholeProcessor { 1000 };
 constexpr Milliseconds claimTimeout { 700 };
 constexpr Milliseconds renewTimeout { 400 };
 /** A host whose reads take longer does no better than a stuck writer. */
@@ -56,9 +58,7 @@
               } })
 {
     m_watch.setWait(watchWait);
-    const std::int64_t lacking = std::max<std::int64_t>(fullProcessor - m_options.processors.value(), 0);
-    m_claimDelay = Milliseconds(static_cast<std::int64_t>(uniformBelow(context.random(), claimSpreadMs))
-                                + lacking * slownessSpreadMs / fullProcessor);
+    m_claimSpread = Milliseconds(static_cast<std::int64_t>(uniformBelow(context.random(), claimSpreadMs)));
 }
 
 void WriterElection::start()
@@ -132,6 +132,11 @@
     }
 }
 
+void WriterElection::noteMostProcessors(Millicores processors)
+{
+    m_mostProcessors = processors;
+}
+
 void WriterElection::watchOver()
 {
     const std::string_view reason = reasonToClaim();
@@ -140,13 +145,22 @@
     } else if (!m_reasonSince) {
         m_reasonSince = m_context.now();
     }
-    if (m_reasonSince && m_context.now() - *m_reasonSince >= m_claimDelay) {
+    if (m_reasonSince && m_context.now() - *m_reasonSince >= claimDelay()) {
         m_reasonSince.reset();
         tryClaim(reason);
     }
     m_context.schedule(watchOverInterval, m_lifetime.guard([this] { watchOver(); }));
 }
 
+/** The larger hosts come first: a writer that is short of processor time serves all callers badly. */
+Milliseconds WriterElection::claimDelay() const
+{
+    const std::int64_t most = m_mostProcessors.value_or(wholeProcessor).value();
+    const std::int64_t lacking = std::max<std::int64_t>(most - m_options.processors.value(), 0);
+    const std::int64_t perProcessor = m_mostProcessors ? lessThanLargestMs : slownessMs;
+    return m_claimSpread + Milliseconds(lacking * perProcessor / wholeProcessor.value());
+}
+
 std::string_view WriterElection::reasonToClaim() const
 {
     if (!m_watch.isSynced() || isWriter() || m_isClaiming || m_isRetired) {
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -57,6 +57,8 @@
     void start();
     /** A sign of life of the writer with @p token came in. */
     void noteBeat(WriterToken token, bool isStuck);
+    /** The largest host that may succeed the writer has so many processors. */
+    void noteMostProcessors(Millicores processors);
     /** The writer with @p token asks this host to go on in its place. */
     void takeOver(WriterToken token);
     /** Doesn't try any more; when it writes, lets the others know. */
@@ -74,6 +76,7 @@
     void take(const KvEntry &entry);
     void takeClaim(const KvEntry &entry);
     void watchOver();
+    [[nodiscard]] Milliseconds claimDelay() const;
     [[nodiscard]] std::string_view reasonToClaim() const;
     void tryClaim(std::string_view reason);
     void writeClaim(LeaseId lease);
@@ -105,7 +108,9 @@
     bool m_isRetired = false;
     bool m_isYielding = false;
     /** Own share of the delay before a claim, so that hosts don't all try at once. */
-    Milliseconds m_claimDelay {};
+    Milliseconds m_claimSpread {};
+    /** Nullopt until a writer has told. */
+    std::optional<Millicores> m_mostProcessors;
     std::optional<TimePoint> m_reasonSince;
 };
 
--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -76,6 +76,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(theLargestHostSucceedsAWriterThatIsGone)
+{
+    constexpr std::uint64_t seeds = 30;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VirtualSiteOptions options;
+        options.seed = seed;
+        options.hosts = 6;
+        options.processors = { Millicores(500), Millicores(120), Millicores(120) };
+        VirtualSite site(options);
+        site.run(startTime);
+        const std::optional<HostId> first = site.writer();
+        BOOST_REQUIRE(first.has_value());
+        site.killHost(*first);
+        BOOST_TEST(site.runUntil([&site] { return site.logCount(events::shardActive) == 2; }, Milliseconds(6000)));
+        const bool isLarge = site.writer() == HostId("h0") || site.writer() == HostId("h3");
+        BOOST_TEST(isLarge, "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aWriterThatAloneIsCutFromTheStoreIsReplaced)
 {
     VirtualSite site({});
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -87,6 +87,7 @@
     auto host = std::make_unique<Host>();
     host->id = HostId("h" + std::to_string(m_hosts.size()));
     host->address = Address("10.0.0." + std::to_string(m_hosts.size()) + ":7000");
+    host->processors = m_options.processors[m_hosts.size() % m_options.processors.size()];
     m_hosts.push_back(std::move(host));
     startProcess(*m_hosts.back());
     return m_hosts.back()->id;
@@ -106,7 +107,7 @@
     JobNodeOptions options;
     options.self = host.id;
     options.peerAddress = host.address;
-    options.processors = Millicores(250);
+    options.processors = host.processors;
     options.nonce = m_random();
     host.node = std::make_unique<JobNode>(
         options, testFormats(m_configuration, [this](const std::string &id) { return entryOf(WorkerId(id)); }),
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -20,6 +20,8 @@
     std::uint64_t seed = 1;
     int hosts = 3;
     int workers = 6;
+    /** Processors of the hosts, in turn. */
+    std::vector<Millicores> processors { Millicores(250) };
     Resources capacity { Millicores(8000), Mebibytes(16'000), AcceleratorCount(1) };
     std::uint32_t attemptLimit = 3;
 };
--- a/tests/libjobs/virtualsite_p.h
+++ b/tests/libjobs/virtualsite_p.h
@@ -12,6 +12,7 @@
 {
     HostId id;
     Address address;
+    Millicores processors;
     std::uint64_t process = 0;
     bool isAlive = false;
     bool isPaused = false;
