Place lasting tasks again by how long they have waited

Ruled out: quarantine and spread limits (the tasks were placed as soon as a new writer's queue was short). Change: a waiting lasting task has to begin when it began to wait. Seen: the new test fails without the change.

--- a/bench/sitebench.cpp
+++ b/bench/sitebench.cpp
@@ -1,6 +1,6 @@
 /**
- * Plays a site of many workers in virtual time and tells the processor time that its decisions take: the slope behind
- * docs/CAPACITY.md. Arguments: workers, seconds.
+ * Plays a site of many workers in virtual time, for a profiler: what the decisions cost shows beside the simulated
+ * workers and their judge, which the printed time includes. Arguments: workers, seconds.
  */
 #include "virtualjobs.h"
 #include "virtualsite.h"
--- a/src/libjobs/joburgency.cpp
+++ b/src/libjobs/joburgency.cpp
@@ -61,4 +61,9 @@
     return urgency;
 }
 
+JobUrgency urgencyOfLasting(const QueueEntry &queue, WallTime waitingSince)
+{
+    return { queue.priority, JobOutlook::InTime, waitingSince.value() };
+}
+
 } // namespace currantring
--- a/src/libjobs/joburgency.h
+++ b/src/libjobs/joburgency.h
@@ -39,4 +39,10 @@
  */
 JobUrgency urgencyOf(const Job &job, std::uint32_t occurrence, const QueueEntry &queue, WallTime now);
 
+/**
+ * How urgent a lasting task is that has waited for a place since @p waitingSince: it is missing all the time, and its
+ * job's age says nothing of that. Thread safety: reentrant.
+ */
+JobUrgency urgencyOfLasting(const QueueEntry &queue, WallTime waitingSince);
+
 } // namespace currantring
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -72,8 +72,7 @@
     std::vector<std::pair<JobUrgency, StepRef>> order;
     for (const auto &[step, ready] : m_ready.steps()) {
         if (const QueueEntry *const queue = m_parts.queues.find(ready.queue)) {
-            const Job &job = *m_parts.log.table().find(step.job);
-            order.emplace_back(urgencyOf(job, step.occurrence, *queue, m_parts.context.wallNow()), step);
+            order.emplace_back(urgencyOfStep(step, ready, *queue), step);
         }
     }
     std::ranges::sort(order);
@@ -82,6 +81,16 @@
     }
 }
 
+JobUrgency RunStarter::urgencyOfStep(const StepRef &step, const ReadyStep &ready, const QueueEntry &queue) const
+{
+    const WallTime wallNow = m_parts.context.wallNow();
+    if (ready.step->isLasting) {
+        const Milliseconds waited = m_parts.context.now() - ready.since;
+        return urgencyOfLasting(queue, WallTime(wallNow.value() - waited.count()));
+    }
+    return urgencyOf(*m_parts.log.table().find(step.job), step.occurrence, queue, wallNow);
+}
+
 void RunStarter::placeStep(const StepRef &step)
 {
     const auto found = m_ready.steps().find(step);
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -73,6 +73,7 @@
     void record(const Choice &choice, const LiveRun &run);
     void start(const RunRef &run, const WorkerId &worker);
     [[nodiscard]] const Task *taskOf(const TaskRef &ref) const;
+    [[nodiscard]] JobUrgency urgencyOfStep(const StepRef &step, const ReadyStep &ready, const QueueEntry &queue) const;
 
     Parts m_parts;
     LossHandler m_onLoss;
--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -143,6 +143,38 @@
     BOOST_TEST(site.logCount(events::runMoved) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(aLastingTaskIsPlacedAgainHoweverMuchShortWorkWaits)
+{
+    VirtualSiteOptions options;
+    options.workers = 2;
+    VirtualSite site(options);
+    site.run(startTime);
+    const JobSpec lasting = lastingJob(1, 1);
+    BOOST_TEST(site.submit(lasting));
+    // Long enough for its job to be older than any objective, and for short work to wait in a long queue.
+    constexpr std::uint64_t shortJobs = 150;
+    for (std::uint64_t number = 2; number < 2 + shortJobs; ++number) {
+        JobSpec job = batchJob(number, 1, 4);
+        job.queue = lasting.queue;
+        site.after(Milliseconds(100 * number), [&site, job] {
+            site.send(site.hosts().front(), SubmitJob { std::make_shared<const JobSpec>(job) });
+        });
+    }
+    site.run(Milliseconds(5000));
+    site.record(true);
+    for (const WorkerId &worker : site.workers()) {
+        site.crashWorker(worker, false);
+        site.restartWorker(worker);
+    }
+    const auto isPlacedAgain = [&site, &lasting] {
+        const std::string placed = "event=run_placed task=" + lasting.id.value() + "/0/0/0 run=2";
+        return std::ranges::any_of(
+            site.transcript(), [&placed](const std::string &line) { return line.find(placed) != std::string::npos; });
+    };
+    BOOST_TEST(site.runUntil(isPlacedAgain, Milliseconds(3000)));
+    requireNoViolations(site);
+}
+
 BOOST_AUTO_TEST_CASE(aLastingTaskThatDoesNotStartIsMoved)
 {
     VirtualSiteOptions options;
