--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -1,6 +1,7 @@
 #include "virtualsite_p.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace currantring {
 
@@ -34,7 +35,7 @@
 } // namespace
 
 VirtualSite::VirtualSite(VirtualSiteOptions options)
-    : m_options(options)
+    : m_options(std::move(options))
     , m_random(m_options.seed)
 {
     m_configuration.version = ConfigurationVersion(1);
