Pass a refusal on only once all copies of a call are refused

Cause: a host sends a call to the writer again when it hears the writer again, or after 1 s. The answer to any copy went to the caller.

A refusal is now passed on once every copy that was sent is refused, and a call of which a copy was refused isn't sent again. A call with one copy is refused as quickly as before.

--- a/src/libjobs/callgateway.cpp
+++ b/src/libjobs/callgateway.cpp
@@ -44,13 +44,19 @@
 
 void CallGateway::send(ForwardNumber number, Pending &pending)
 {
+    if (pending.isRefused) {
+        return;
+    }
     // A local writer may answer during m_send(), which invalidates pending; copy what is needed.
     const Milliseconds timeLeft = pending.deadline - m_context.now();
     const CallerCall call = pending.call;
     const std::optional<TimePoint> previouslySentAt = pending.sentAt;
     pending.sentAt = m_context.now();
+    ++pending.unansweredCopies;
     if (!m_send(number, call, timeLeft)) {
-        m_pending.at(number).sentAt = previouslySentAt;
+        Pending &unsent = m_pending.at(number);
+        unsent.sentAt = previouslySentAt;
+        --unsent.unansweredCopies;
     }
 }
 
@@ -69,6 +75,16 @@
 
 void CallGateway::complete(ForwardNumber number, const CallAnswer &answer)
 {
+    const auto found = m_pending.find(number);
+    if (found == m_pending.end()) {
+        return;
+    }
+    Pending &pending = found->second;
+    --pending.unansweredCopies;
+    if (answer.outcome == CallOutcome::Refused && pending.unansweredCopies > 0) {
+        pending.isRefused = true;
+        return;
+    }
     finish(number, answer, "answered");
 }
 
--- a/src/libjobs/callgateway.h
+++ b/src/libjobs/callgateway.h
@@ -14,8 +14,9 @@
 /**
  * Forwards callers' calls to the writer and returns its answers, also across changes of the writer.
  *
- * Calls are resent freely, since all of them are idempotent: a submission is identified by its job's id. Thread safety:
- * one thread at a time.
+ * Calls are resent freely, since all of them are idempotent: a submission is identified by its job's id. A refusal tells
+ * the caller that the call has no effect, so it is passed on only once all copies of the call are refused. Thread
+ * safety: one thread at a time.
  */
 class CallGateway
 {
@@ -43,6 +44,10 @@
         TimePoint acceptedAt;
         TimePoint deadline;
         std::optional<TimePoint> sentAt;
+        /** Copies that were sent and haven't been answered; the writer may still act on them. */
+        std::size_t unansweredCopies = 0;
+        /** The writer has refused one of several copies. */
+        bool isRefused = false;
     };
 
     void send(ForwardNumber number, Pending &pending);
