Hand the shard over to a larger host that returns

Cause: a writer kept the shard until it failed.

A writer now hands the shard over as at a planned stop once a host with at least half as many processors again has been reachable for 3 s and reaches the store. The same check keeps a stopping writer from naming a host that is cut off from the store. Links to the other hosts stay until the next claim, so that the message and the last answers arrive.

--- a/src/libjobs/jobmessage.h
+++ b/src/libjobs/jobmessage.h
@@ -60,7 +60,7 @@
     CallAnswer answer;
 };
 
-/** Asks the receiver to become the writer because the sender is stopping. */
+/** Asks the receiver to become the writer because the sender is stopping or is a smaller host. */
 struct HandOver
 {
     WriterToken token;
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -29,8 +29,14 @@
 constexpr Milliseconds confirmationTerm { 3000 };
 constexpr Milliseconds registerTimeout { 1500 };
 constexpr Milliseconds retryDelay { 300 };
-/** How long a stopping writer waits for its last commit. */
+/** How long a writer that hands the shard over waits for its last commit. */
 constexpr Milliseconds finishTimeout { 1000 };
+/** A hand-over interrupts the service, so a larger host must have been reachable for this time before it. */
+constexpr Milliseconds largerHostSettleTime { 3000 };
+/** A larger host must have at least this percentage of the writer's processors. */
+constexpr std::int64_t minLargerHostPercent = 150;
+/** A host that the store hasn't answered for this time can't succeed the writer; longer than its watch waits. */
+constexpr Milliseconds maxSuccessorStoreAge { 5000 };
 
 } // namespace
 
@@ -135,6 +141,16 @@
     return m_election.claim() && m_lastWriterHeartbeatAt && m_context.now() - *m_lastWriterHeartbeatAt < writerTimeout;
 }
 
+bool JobNode::isReachable(const Peer &peer) const
+{
+    return peer.lastHeartbeatAt && m_context.now() - *peer.lastHeartbeatAt < hostTimeout;
+}
+
+bool JobNode::canSucceed(const Peer &peer) const
+{
+    return isReachable(peer) && !peer.beat.isLeaving && peer.beat.storeAge < maxSuccessorStoreAge;
+}
+
 bool JobNode::reachesMostHosts() const
 {
     if (m_context.now() - m_claimedAt < peerSettleTime) {
@@ -145,7 +161,7 @@
     for (const auto &[host, peer] : m_peers) {
         // Host entries aren't tied to a lease: one that never sent a heartbeat may belong to a removed host.
         known += peer.lastHeartbeatAt ? 1 : 0;
-        reachable += peer.lastHeartbeatAt && m_context.now() - *peer.lastHeartbeatAt < hostTimeout ? 1 : 0;
+        reachable += isReachable(peer) ? 1 : 0;
     }
     return known == 0 ? m_peers.empty() : reachable * 2 >= known;
 }
@@ -183,13 +199,30 @@
     for (const auto &[host, peer] : m_peers) {
         m_context.sendPeer(host, beat);
     }
+    yieldToLargerHost();
+}
+
+void JobNode::yieldToLargerHost()
+{
+    const std::optional<HostId> successor =
+        m_isHandingOver || m_isStopping || !m_writer->isActive() ? std::nullopt : chooseSuccessor();
+    if (!successor) {
+        return;
+    }
+    const Peer &peer = m_peers.at(*successor);
+    const bool isLarger = peer.beat.processors.value() * 100 >= m_options.processors.value() * minLargerHostPercent;
+    if (isLarger && m_context.now() - peer.reachableSince >= largerHostSettleTime) {
+        m_isHandingOver = true;
+        m_election.setLargestHostProcessors(peer.beat.processors);
+        finishAndHandOver([] {});
+    }
 }
 
 Millicores JobNode::largestPeerProcessors() const
 {
     Millicores most;
     for (const auto &[host, peer] : m_peers) {
-        if (peer.lastHeartbeatAt && m_context.now() - *peer.lastHeartbeatAt < hostTimeout && !peer.beat.isLeaving) {
+        if (isReachable(peer) && !peer.beat.isLeaving) {
             most = std::max(most, peer.beat.processors);
         }
     }
@@ -217,12 +250,25 @@
 }
 
 void JobNode::handleSuperseded()
+{
+    destroyWriter();
+    unlinkPeers(std::nullopt);
+}
+
+void JobNode::destroyWriter()
 {
     // Destroyed asynchronously, since this may be called from one of its member functions.
     m_context.schedule(Milliseconds(0), [writer = std::shared_ptr<JobWriter>(std::move(m_writer))] {});
+    m_isHandingOver = false;
     m_lastWriterHeartbeatAt.reset();
+}
+
+void JobNode::unlinkPeers(const std::optional<HostId> &except)
+{
     for (const auto &[host, peer] : m_peers) {
-        m_context.linkPeer(host, std::nullopt);
+        if (host != except) {
+            m_context.linkPeer(host, std::nullopt);
+        }
     }
     m_peers.clear();
 }
@@ -251,6 +297,9 @@
 void JobNode::followWriter(const WriterClaim &claim)
 {
     m_lastWriterHeartbeatAt.reset();
+    if (!m_writer) {
+        unlinkPeers(claim.host);
+    }
     if (m_linkedWriter && *m_linkedWriter != claim.host && !m_writer) {
         m_context.linkPeer(*m_linkedWriter, std::nullopt);
     }
@@ -294,6 +343,9 @@
         m_context.linkPeer(from, beat.address);
     }
     const bool isNew = !peer.lastHeartbeatAt;
+    if (!isReachable(peer)) {
+        peer.reachableSince = m_context.now();
+    }
     peer.lastHeartbeatAt = m_context.now();
     peer.beat = beat;
     if (m_configuration && beat.configuration < m_configuration->version && !isNew) {
@@ -337,6 +389,14 @@
         then();
         return;
     }
+    finishAndHandOver([this, then = std::move(then)] {
+        m_election.retire();
+        then();
+    });
+}
+
+void JobNode::finishAndHandOver(std::function<void()> then)
+{
     const auto finished = std::make_shared<bool>(false);
     const auto once = m_lifetime.guard([this, finished, then = std::move(then)] {
         if (!std::exchange(*finished, true)) {
@@ -358,9 +418,10 @@
         if (successor) {
             m_context.sendPeer(*successor, HandOver { token });
         }
-        m_context.schedule(Milliseconds(0), [writer = std::shared_ptr<JobWriter>(std::move(m_writer))] {});
+        m_election.resign();
+        // The links stay until the next claim, as the message and the last answers are still on their way.
+        destroyWriter();
     }
-    m_election.retire();
     then();
 }
 
@@ -369,8 +430,7 @@
     const Peer *best = nullptr;
     std::optional<HostId> host;
     for (const auto &[id, peer] : m_peers) {
-        const bool isFresh = peer.lastHeartbeatAt && m_context.now() - *peer.lastHeartbeatAt < hostTimeout;
-        if (!isFresh || peer.beat.isLeaving) {
+        if (!canSucceed(peer)) {
             continue;
         }
         // Prefers the shortest uptime: in a rolling restart the host that was restarted last stays up longest.
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -65,6 +65,8 @@
     {
         Address address;
         std::optional<TimePoint> lastHeartbeatAt;
+        /** Beginning of the heartbeats without a gap longer than the host timeout. */
+        TimePoint reachableSince {};
         HostHeartbeat beat;
     };
 
@@ -79,7 +81,15 @@
     void handleHostBeat(const HostId &from, const HostHeartbeat &beat);
     void handleWriterBeat(const HostId &from, const WriterHeartbeat &beat);
     bool sendCall(ForwardNumber number, const CallerCall &call, Milliseconds timeLeft);
+    /** Hands the shard over if a considerably larger host has been reachable for some time. */
+    void yieldToLargerHost();
+    /** Flushes the log, hands the shard over and runs @p then. */
+    void finishAndHandOver(std::function<void()> then);
     void handOver(const std::function<void()> &then);
+    void destroyWriter();
+    void unlinkPeers(const std::optional<HostId> &except);
+    [[nodiscard]] bool isReachable(const Peer &peer) const;
+    [[nodiscard]] bool canSucceed(const Peer &peer) const;
     [[nodiscard]] std::optional<HostId> chooseSuccessor() const;
     /** Processor capacity of the largest peer that sends heartbeats and isn't shutting down. */
     [[nodiscard]] Millicores largestPeerProcessors() const;
@@ -106,6 +116,7 @@
     std::optional<TimePoint> m_lastWriterHeartbeatAt;
     std::optional<HostId> m_linkedWriter;
     bool m_isStopping = false;
+    bool m_isHandingOver = false;
 };
 
 } // namespace currantring
--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -273,7 +273,13 @@
 void WriterElection::retire()
 {
     m_isRetired = true;
+    resign();
+}
+
+void WriterElection::resign()
+{
     m_token.reset();
+    m_isYielding = false;
     if (m_lease) {
         m_context.callStore(KvEndLease { *m_lease }, renewTimeout, [](const KvResult & /*result*/) {
             // The lease expires by itself if the request is lost.
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -59,9 +59,11 @@
     void recordHeartbeat(WriterToken token, bool isStuck);
     /** Sets the processor capacity of the largest host that may succeed the writer. */
     void setLargestHostProcessors(Millicores processors);
-    /** Attempts a claim on request of the stopping writer with @p token. */
+    /** Attempts a claim on request of the writer with @p token, which hands the shard over. */
     void acceptHandOver(WriterToken token);
-    /** Attempts no further claims; a writer also ends its lease, so that other hosts can claim the shard at once. */
+    /** Gives the shard up as its writer, and ends the lease so that other hosts can claim the shard at once. */
+    void resign();
+    /** Resigns and attempts no further claims. */
     void retire();
     /** While yielding, the writer lets hosts that receive no heartbeats from it claim the shard. */
     void setYielding(bool isYielding);
--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -123,6 +123,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(smallWriterHandsOverToALargerHostThatReturns)
+{
+    constexpr std::uint64_t seeds = 10;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VirtualSite site(siteOfTwoSizes(seed));
+        for (const HostId &host : largeHosts) {
+            site.killHost(host);
+        }
+        site.run(startTime);
+        BOOST_REQUIRE(site.writer().has_value());
+        const JobSpec job = batchJob(seed, 3, 4);
+        BOOST_TEST(site.submit(job));
+        for (const HostId &host : largeHosts) {
+            site.restartHost(host);
+        }
+        const auto isWriterLarge = [&site] {
+            return site.writer() && std::ranges::find(largeHosts, *site.writer()) != largeHosts.end();
+        };
+        BOOST_TEST(site.runUntil(isWriterLarge, Milliseconds(6000)), "seed " << seed);
+        BOOST_TEST(reachesPhase(site, job.id, JobPhase::Completed));
+        site.run(Milliseconds(6000));
+        // The hosts of equal size don't take the shard from each other.
+        BOOST_TEST(site.logCount(events::shardHandedOver) == 1U);
+        requireNoViolations(site);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(writerIsReplacedWhenOnlyItLosesTheStore)
 {
     VirtualSite site({});
