Count a job as waiting until a worker has started a task of it

Cause: a job counted as begun from its first placement on, and stayed so when the run was lost before it started. A placement is a plan of the writer; only a worker can tell that a task started.

A job has begun once a worker took the start of a task, lists it, or lists its end. A record says so, one a job, so that the next writer knows it, too; it stands where earlier versions don't look, so that these can read the log. The line job_begun and the field waiting of call_answered tell a wrong count from a right one.

No test had asked.

--- a/src/libjobs/callgateway.cpp
+++ b/src/libjobs/callgateway.cpp
@@ -98,12 +98,15 @@
     m_context.count("calls_answered", callOutcomeName(answer.outcome));
     const bool isSuccess = answer.outcome == CallOutcome::Accepted || answer.outcome == CallOutcome::Found;
     if (!isSuccess || !std::holds_alternative<ReadJob>(call.call)) {
-        m_context.log(LogLevel::Info, events::callAnswered,
-                      { { "call", std::string(callName(call.call)) },
-                        { "subject", callSubject(call.call) },
-                        { "outcome", std::string(callOutcomeName(answer.outcome)) },
-                        { "why", std::string(reason) },
-                        { "after_ms", std::to_string((m_context.now() - call.acceptedAt).count()) } });
+        JobContext::LogFields fields { { "call", std::string(callName(call.call)) },
+                                       { "subject", callSubject(call.call) },
+                                       { "outcome", std::string(callOutcomeName(answer.outcome)) },
+                                       { "why", std::string(reason) },
+                                       { "after_ms", std::to_string((m_context.now() - call.acceptedAt).count()) } };
+        if (isSuccess && std::holds_alternative<CountWaiting>(call.call)) {
+            fields.emplace_back("waiting", std::to_string(answer.waiting));
+        }
+        m_context.log(LogLevel::Info, events::callAnswered, std::move(fields));
     }
     m_context.answerCaller(call.caller, answer);
 }
--- a/src/libjobs/callgateway.h
+++ b/src/libjobs/callgateway.h
@@ -14,8 +14,8 @@
 /**
  * Forwards callers' calls to the writer and returns its answers, also across changes of the writer.
  *
- * Calls are resent freely, since all of them are idempotent: a submission is identified by its job's id. A refusal tells
- * the caller that the call has no effect, so it is passed on only once all copies of the call are refused. Thread
+ * Calls are resent freely, since all of them are idempotent: a submission is identified by its job's id. A refusal
+ * tells the caller that the call has no effect, so it is passed on only once all copies of the call are refused. Thread
  * safety: one thread at a time.
  */
 class CallGateway
--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -38,7 +38,7 @@
 
 JobPhase Job::phase() const
 {
-    return closedAs.value_or(wasStarted ? JobPhase::Running : JobPhase::Queued);
+    return closedAs.value_or(hasBegun ? JobPhase::Running : JobPhase::Queued);
 }
 
 bool Job::areAllTasksDone() const
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -87,7 +87,8 @@
     /** Started occurrences, numbered from 0 without gaps. */
     std::vector<Occurrence> occurrences;
     std::uint32_t doneOccurrences = 0;
-    bool wasStarted = false;
+    /** Whether a worker is known to have started a task of the job. */
+    bool hasBegun = false;
     /** Completed, Failed or Cancelled once the job is closed; no task starts after that. */
     std::optional<JobPhase> closedAs;
     WallTime closedAt;
--- a/src/libjobs/jobrecord.cpp
+++ b/src/libjobs/jobrecord.cpp
@@ -11,6 +11,10 @@
 /** Record kinds as stored; existing numbers must not change. */
 enum RecordKind : int { AcceptedKind = 1, PlacedKind, EndedKind, ClosedKind, SnapshotKind };
 
+/** Position of the begun jobs in a stored slot: after the records, where earlier versions of the program ignore them.
+ */
+constexpr std::size_t begunPlace = 3;
+
 json encodeTask(const TaskRef &task)
 {
     return json::array({ task.step.job.value(), task.step.occurrence, task.step.step, task.index });
@@ -54,7 +58,7 @@
     for (const Occurrence &occurrence : job.occurrences) {
         occurrences.push_back(encodeOccurrence(occurrence));
     }
-    return json::array({ encodeJobSpec(*job.spec), job.acceptedAt.value(), std::move(occurrences), job.wasStarted,
+    return json::array({ encodeJobSpec(*job.spec), job.acceptedAt.value(), std::move(occurrences), job.hasBegun,
                          job.closedAs ? static_cast<int>(*job.closedAs) : -1, job.closedAt.value() });
 }
 
@@ -91,7 +95,7 @@
         }
         ++number;
     }
-    job->wasStarted = source.at(3).get<bool>();
+    job->hasBegun = source.at(3).get<bool>();
     if (const int closedAs = source.at(4).get<int>(); closedAs >= 0) {
         job->closedAs = static_cast<JobPhase>(closedAs);
     }
@@ -110,6 +114,10 @@
         return json::array({ PlacedKind, encodeTask(record.run.task), record.run.number.value(), record.worker.value(),
                              record.life.value() });
     }
+    json operator()(const JobBegun &record) const
+    {
+        return record.job.value();
+    }
     json operator()(const RunEnded &record) const
     {
         return json::array({ EndedKind, encodeTask(record.run.task), record.run.number.value(),
@@ -163,6 +171,10 @@
         {
             return placed.run.task.step.job;
         }
+        const JobId &operator()(const JobBegun &begun) const
+        {
+            return begun.job;
+        }
         const JobId &operator()(const RunEnded &ended) const
         {
             return ended.run.task.step.job;
@@ -182,11 +194,13 @@
 std::string encodeJobSlot(const JobSlot &slot)
 {
     json records = json::array();
+    json begun = json::array();
     for (const JobRecord &record : slot.records) {
-        records.push_back(std::visit(Encoder {}, record));
+        json &place = std::holds_alternative<JobBegun>(record) ? begun : records;
+        place.push_back(std::visit(Encoder {}, record));
     }
     std::string bytes;
-    json::to_cbor(json::array({ slot.nonce, slot.firstSlot, std::move(records) }), bytes);
+    json::to_cbor(json::array({ slot.nonce, slot.firstSlot, std::move(records), std::move(begun) }), bytes);
     return bytes;
 }
 
@@ -198,6 +212,11 @@
         for (const json &record : source.at(2)) {
             slot.records.push_back(decodeRecord(record));
         }
+        if (source.size() > begunPlace) {
+            for (const json &job : source.at(begunPlace)) {
+                slot.records.emplace_back(JobBegun { JobId(job.get<std::string>()) });
+            }
+        }
         return slot;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/src/libjobs/jobrecord.h
+++ b/src/libjobs/jobrecord.h
@@ -25,6 +25,12 @@
     WorkerLife life;
 };
 
+/** A worker started a task of the job for the first time; placements alone don't prove that. */
+struct JobBegun
+{
+    JobId job;
+};
+
 /** A run ended and its resources are released. */
 struct RunEnded
 {
@@ -48,7 +54,7 @@
     std::shared_ptr<const Job> job;
 };
 
-using JobRecord = std::variant<JobAccepted, RunPlaced, RunEnded, JobClosed, JobSnapshot>;
+using JobRecord = std::variant<JobAccepted, RunPlaced, JobBegun, RunEnded, JobClosed, JobSnapshot>;
 
 /** Returns the job that @p record belongs to. Thread safety: reentrant. */
 const JobId &jobOf(const JobRecord &record);
--- a/src/libjobs/jobtable.cpp
+++ b/src/libjobs/jobtable.cpp
@@ -1,6 +1,7 @@
 #include "jobtable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace currantring {
 
@@ -12,6 +13,9 @@
     if (const auto *placed = std::get_if<RunPlaced>(&record)) {
         return place(*placed);
     }
+    if (const auto *begun = std::get_if<JobBegun>(&record)) {
+        return begin(*begun);
+    }
     if (const auto *ended = std::get_if<RunEnded>(&record)) {
         return end(*ended);
     }
@@ -50,10 +54,15 @@
     }
     task->lastRun = record.run.number;
     task->runs.push_back({ record.run.number, record.worker, record.life });
-    job.wasStarted = true;
     return true;
 }
 
+bool JobTable::begin(const JobBegun &record)
+{
+    const auto found = m_jobs.find(record.job);
+    return found != m_jobs.end() && !std::exchange(found->second.hasBegun, true);
+}
+
 bool JobTable::end(const RunEnded &record)
 {
     Task *const task = findTask(record.run.task);
@@ -64,6 +73,7 @@
     }
     Job &job = m_jobs.at(record.run.task.step.job);
     const StepSpec &step = job.spec->steps.at(record.run.task.step.step);
+    job.hasBegun = job.hasBegun || record.end != RunEnd::Lost;
     if (record.end == RunEnd::Failed) {
         ++task->failures;
     }
--- a/src/libjobs/jobtable.h
+++ b/src/libjobs/jobtable.h
@@ -30,6 +30,7 @@
 private:
     bool accept(const JobAccepted &record);
     bool place(const RunPlaced &record);
+    bool begin(const JobBegun &record);
     bool end(const RunEnded &record);
     bool close(const JobClosed &record);
     Task *findTask(const TaskRef &ref);
--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -174,7 +174,7 @@
 {
     std::uint64_t waiting = 0;
     for (const auto &[id, job] : m_log.table().jobs()) {
-        if (job.spec->queue == call.queue && !job.isClosed() && !job.wasStarted) {
+        if (job.spec->queue == call.queue && !job.isClosed() && !job.hasBegun) {
             ++waiting;
         }
     }
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -66,7 +66,7 @@
         handleRunLoss(worker, run, reason);
     };
     handlers.onStarted = [this](const LiveRun &run) {
-        m_context.observe("start_ms", run.queue, "run", m_context.now() - run.placedAt);
+        handleRunStart(run);
     };
     handlers.onUnsettled = [this](const LiveRun &run) {
         copyRun(run, "start-unsettled");
@@ -226,6 +226,17 @@
     m_starter.requestPass();
 }
 
+void RunController::handleRunStart(const LiveRun &run)
+{
+    m_context.observe("start_ms", run.queue, "run", m_context.now() - run.placedAt);
+    const JobId &id = run.ref.task.step.job;
+    if (m_log.append(JobBegun { id }, RecordUrgency::Relaxed)) {
+        const Milliseconds waited(m_context.wallNow().value() - m_log.table().find(id)->acceptedAt.value());
+        m_context.log(LogLevel::Info, events::jobBegun,
+                      { { "job", id.value() }, { "after_ms", std::to_string(waited.count()) } });
+    }
+}
+
 void RunController::handleRunEnd(const WorkerId &worker, const LiveRun &run, ReportedEnd end,
                                  const CheckpointId &checkpoint)
 {
--- a/tests/libjobs/invariantchecker.cpp
+++ b/tests/libjobs/invariantchecker.cpp
@@ -75,6 +75,7 @@
         recordViolation("UNASKED", fact.at, name + " started but was never submitted");
         return;
     }
+    job->second.begunAt = job->second.begunAt.value_or(fact.at);
     const JobSpec &spec = *job->second.spec;
     const StepSpec &step = spec.steps.at(fact.run.task.step.step);
     if (job->second.cancelledAt && fact.at - *job->second.cancelledAt > m_bounds.cancelDelay) {
@@ -129,6 +130,23 @@
     }
 }
 
+void InvariantChecker::checkCount(const QueueName &queue, std::uint64_t waiting, TimePoint sentAt, TimePoint at)
+{
+    std::uint64_t least = 0;
+    for (const auto &[id, job] : m_jobs) {
+        if (!job.spec || job.spec->queue != queue) {
+            continue;
+        }
+        const bool isLongAccepted = job.acceptedAt && sentAt - *job.acceptedAt > m_bounds.countedAge;
+        least += isLongAccepted && !job.begunAt && !job.cancelSentAt && !job.spec->schedule ? 1 : 0;
+    }
+    if (waiting < least) {
+        recordViolation("MIXED", at,
+                        std::to_string(waiting) + " jobs of " + queue.value() + " are said to wait; "
+                            + std::to_string(least) + " have waited for long");
+    }
+}
+
 void InvariantChecker::checkCompleted(const JobSpec &spec, TimePoint at)
 {
     for (std::uint32_t occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
@@ -210,6 +228,12 @@
 
 void InvariantChecker::noteAnswer(const CallerCall &call, const CallAnswer &answer, TimePoint sentAt, TimePoint at)
 {
+    if (const auto *const count = std::get_if<CountWaiting>(&call)) {
+        if (answer.outcome == CallOutcome::Found) {
+            checkCount(count->queue, answer.waiting, sentAt, at);
+        }
+        return;
+    }
     const auto job = m_jobs.find(JobId(callSubject(call)));
     if (job == m_jobs.end()) {
         return;
--- a/tests/libjobs/invariantchecker.h
+++ b/tests/libjobs/invariantchecker.h
@@ -26,6 +26,8 @@
         Milliseconds cancelDelay { 3000 };
         Milliseconds acknowledgementDelay { 1000 };
         Milliseconds earlyStart { 250 };
+        /** Age at which an accepted job without a start has to be counted as waiting. */
+        Milliseconds countedAge { 5000 };
     };
 
     void noteConfiguration(const SiteConfiguration &configuration);
@@ -72,6 +74,8 @@
         bool mayHaveBeenAccepted = false;
         std::optional<TimePoint> cancelSentAt;
         std::optional<TimePoint> cancelledAt;
+        /** Start of the first task on a worker. */
+        std::optional<TimePoint> begunAt;
         bool wasShownCompleted = false;
     };
 
@@ -81,6 +85,8 @@
     void checkDependencies(const WorkerRunEvent &fact, const StepSpec &step);
     void checkSchedule(const WorkerRunEvent &fact, const JobSpec &spec);
     void checkCompleted(const JobSpec &spec, TimePoint at);
+    /** Compares a count of waiting jobs with the jobs of which no task has started on a worker. */
+    void checkCount(const QueueName &queue, std::uint64_t waiting, TimePoint sentAt, TimePoint at);
     [[nodiscard]] std::uint32_t failuresOf(const TaskRef &task, const StepSpec &step);
     void recordViolation(const std::string &rule, TimePoint at, const std::string &what);
     [[nodiscard]] std::uint32_t attemptLimit(const JobSpec &spec) const;
--- a/tests/libjobs/testanswers.cpp
+++ b/tests/libjobs/testanswers.cpp
@@ -16,6 +16,21 @@
     }
 }
 
+void isolateAllWorkers(VirtualSite &site, bool isCut)
+{
+    for (const WorkerId &worker : site.workers()) {
+        site.isolateWorker(worker, isCut);
+    }
+}
+
+std::optional<std::uint64_t> countWaiting(VirtualSite &site, const QueueName &queue)
+{
+    const std::size_t call = site.send(site.hosts().back(), CountWaiting { queue });
+    site.runUntil([&site, call] { return site.calls()[call].answer.has_value(); }, Milliseconds(3100));
+    const std::optional<CallAnswer> &answer = site.calls()[call].answer;
+    return answer && answer->outcome == CallOutcome::Found ? std::optional(answer->waiting) : std::nullopt;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Answers)
@@ -68,4 +83,42 @@
     BOOST_TEST(site.judge().violations().empty());
 }
 
+/** Jobs were no longer counted as waiting once they were placed, although their start orders reached no worker. */
+BOOST_AUTO_TEST_CASE(jobWhoseStartReachedNoWorkerIsCountedAsWaiting)
+{
+    VirtualSite site({});
+    site.run(startTime);
+    const JobSpec job = batchJob(1);
+    isolateAllWorkers(site, true);
+    BOOST_TEST(site.submit(job));
+    site.run(Milliseconds(6000));
+    BOOST_TEST(site.judge().starts() == 0U);
+    BOOST_TEST((countWaiting(site, job.queue) == 1U));
+    BOOST_TEST((site.phaseOf(job.id) == JobPhase::Queued));
+    site.killHost(*site.writer());
+    site.run(Milliseconds(3000));
+    BOOST_TEST((countWaiting(site, job.queue) == 1U));
+    isolateAllWorkers(site, false);
+    BOOST_TEST(site.runUntil([&site] { return site.judge().starts() == 2; }, Milliseconds(20'000)));
+    site.run(Milliseconds(200));
+    BOOST_TEST((countWaiting(site, job.queue) == 0U));
+    BOOST_TEST(site.judge().violations().empty());
+}
+
+/** The next writer can't ask a worker that it doesn't reach whether a task of the job has started. */
+BOOST_AUTO_TEST_CASE(jobThatHasBegunIsNotCountedAfterATakeover)
+{
+    VirtualSite site({});
+    site.run(startTime);
+    const JobSpec job = batchJob(1, 1, 2, Milliseconds(9000));
+    BOOST_TEST(site.submit(job));
+    BOOST_TEST(site.runUntil([&site] { return site.judge().starts() == 2; }, Milliseconds(1000)));
+    site.run(Milliseconds(500));
+    isolateAllWorkers(site, true);
+    site.killHost(*site.writer());
+    site.run(Milliseconds(3000));
+    BOOST_TEST((countWaiting(site, job.queue) == 0U));
+    BOOST_TEST((site.phaseOf(job.id) == JobPhase::Running));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -98,8 +98,7 @@
         BOOST_REQUIRE(first.has_value());
         site.killHost(*first);
         BOOST_TEST(site.runUntil([&site] { return site.logCount(events::shardActive) == 2; }, Milliseconds(6000)));
-        const bool isLarge =
-            site.writer() && std::ranges::find(largeHosts, *site.writer()) != largeHosts.end();
+        const bool isLarge = site.writer() && std::ranges::find(largeHosts, *site.writer()) != largeHosts.end();
         BOOST_TEST(isLarge, "seed " << seed);
     }
 }
--- a/tests/libjobs/virtualclients.cpp
+++ b/tests/libjobs/virtualclients.cpp
@@ -18,6 +18,7 @@
     : m_site(site)
     , m_random(seed)
 {
+    pollCounts();
 }
 
 HostId VirtualClients::randomHost()
@@ -80,6 +81,17 @@
     });
 }
 
+void VirtualClients::pollCounts()
+{
+    if (m_isFinishing) {
+        return;
+    }
+    for (const QueueEntry &queue : m_site.configuration().queues) {
+        m_site.send(randomHost(), CountWaiting { queue.name });
+    }
+    m_site.after(pollInterval, [this] { pollCounts(); });
+}
+
 bool VirtualClients::isFinished(const JobId &job) const
 {
     const auto found = m_lastPhases.find(job);
@@ -95,6 +107,7 @@
             });
         },
         limit);
+    m_isFinishing = true;
     for (const auto &spec : m_jobs) {
         if (m_site.judge().isAccepted(spec->id) && !isFinished(spec->id)) {
             if (const std::optional<JobPhase> phase = m_site.phaseOf(spec->id)) {
--- a/tests/libjobs/virtualclients.h
+++ b/tests/libjobs/virtualclients.h
@@ -7,7 +7,8 @@
 namespace currantring {
 
 /**
- * Simulated clients, which submit and cancel jobs, retry until a call is accepted, and poll the phases of their jobs.
+ * Simulated clients, which submit and cancel jobs, retry until a call is accepted, and poll the phases of their jobs
+ * and the number of waiting jobs.
  *
  * Thread safety: one thread at a time.
  */
@@ -35,6 +36,7 @@
     void trySubmit(const std::shared_ptr<const JobSpec> &spec, TimePoint until);
     void tryCancel(const JobId &job, TimePoint until);
     void pollPhase(const JobId &job);
+    void pollCounts();
     [[nodiscard]] HostId randomHost();
     [[nodiscard]] bool isFinished(const JobId &job) const;
 
@@ -42,6 +44,7 @@
     Random m_random;
     std::vector<std::shared_ptr<const JobSpec>> m_jobs;
     std::map<JobId, JobPhase> m_lastPhases;
+    bool m_isFinishing = false;
 };
 
 } // namespace currantring
