Claim the shard only over the writer that was to be replaced

Cause: a host that decided to claim first asks for a lease. If another host's claim came in meanwhile, it claimed over that one, since the claim was conditional on the latest revision that was known when it was written. It is now conditional on the claim that the decision was about, so the store refuses the second one.

--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -192,20 +192,21 @@
     m_context.log(LogLevel::Info, events::claimTried,
                   { { "reason", std::string(reason) }, { "revision", std::to_string(m_claimRevision.value()) } });
     m_context.callStore(KvGrantLease { m_options.leaseTerm }, claimTimeout,
-                        m_lifetime.guard([this](const KvResult &result) {
+                        m_lifetime.guard([this, replaced = m_claimRevision](const KvResult &result) {
                             if (result && !m_isRetired) {
-                                writeClaim(result->lease);
+                                writeClaim(result->lease, replaced);
                             } else {
                                 m_isClaiming = false;
                             }
                         }));
 }
 
-void WriterElection::writeClaim(LeaseId lease)
+/** Claims the shard over the claim @p replaced; a newer claim had no part in the decision, so it must stay. */
+void WriterElection::writeClaim(LeaseId lease, StoreRevision replaced)
 {
     m_lease = lease;
     KvCommit commit;
-    commit.conditions = { { m_layout.claimKey(), m_claimRevision } };
+    commit.conditions = { { m_layout.claimKey(), replaced } };
     commit.puts = { { m_layout.claimKey(), encodeClaim(m_options), std::nullopt },
                     { m_layout.aliveKey(), aliveValue, lease } };
     m_context.callStore(std::move(commit), claimTimeout,
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -81,7 +81,7 @@
     [[nodiscard]] Milliseconds claimDelay() const;
     [[nodiscard]] std::string_view reasonToClaim() const;
     void tryClaim(std::string_view reason);
-    void writeClaim(LeaseId lease);
+    void writeClaim(LeaseId lease, StoreRevision replaced);
     void handleClaim(const KvResult &result);
     void readClaim();
     void probe();
--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -149,6 +149,29 @@
     }
 }
 
+/** Hosts of equal size that claimed together took the shard from each other, each time with a new token. */
+BOOST_AUTO_TEST_CASE(oneTakeoverHasOneClaim)
+{
+    constexpr std::uint64_t seeds = 30;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VirtualSiteOptions options;
+        options.seed = seed;
+        options.hosts = 9;
+        VirtualSite site(options);
+        // A claim takes longer than the random part of the delay before it.
+        site.setStoreDelay(Milliseconds(40));
+        site.run(startTime);
+        BOOST_TEST(site.logCount(events::shardClaimed) == 1U, "at the start, seed " << seed);
+        const std::size_t before = site.logCount(events::shardClaimed);
+        const std::optional<HostId> first = site.writer();
+        BOOST_REQUIRE(first.has_value());
+        site.setStoreFault(*first, StoreFault::Silent);
+        site.send(*first, SubmitJob { std::make_shared<const JobSpec>(batchJob(seed)) });
+        site.run(Milliseconds(5000));
+        BOOST_TEST(site.logCount(events::shardClaimed) == before + 1, "after a cut, seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(writerIsReplacedWhenOnlyItLosesTheStore)
 {
     VirtualSite site({});
