Assess a worker's interference only after its runs changed

Cause: the writer was short of processor time on the largest host, too. Both ask for each of 490 workers how far its serving tasks are from their limits, and looked up a coefficient for each pair of a serving task and a filler there, by copies of their names, for each step and search anew.

InterferenceTable keeps that summary for each worker until its runs, their gauges or paces change, and 500 ms at most, as loads are learnt from other workers, too. Coefficients are found without copying names. The monitor asks for the added stress only of workers whose serving tasks are all slow.

Placing/workerIsAssessedAgainOnlyAfterItsRunsChanged counts the assessments: 12 for 20 placements on 12 workers, where the code before went over the runs of all workers 20 times (that code has no counter, so the test can't be run on it); interferenceOfAWorkerMatchesTheModel compares the summary with the model.

--- a/src/libjobs/neighbourknowledge.h
+++ b/src/libjobs/neighbourknowledge.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace currantring {
@@ -34,10 +35,22 @@
 {
     /** Filler image and serving image. */
     using Pair = std::pair<ImageName, ImageName>;
+    using PairView = std::pair<const ImageName &, const ImageName &>;
+    /** Finds a pair without copying its names. */
+    struct PairLess
+    {
+        using is_transparent = void;
+
+        template<typename Left, typename Right>
+        bool operator()(const Left &left, const Right &right) const
+        {
+            return std::tie(left.first, left.second) < std::tie(right.first, right.second);
+        }
+    };
 
     std::map<ImageName, ServerImage> servers;
     /** Stress that a filler using all processors of a worker would add to a serving task. */
-    std::map<Pair, Estimate> coefficients;
+    std::map<Pair, Estimate, PairLess> coefficients;
 
     bool operator==(const NeighbourKnowledge &) const = default;
 };
--- a/src/libjobs/neighbourmodel.cpp
+++ b/src/libjobs/neighbourmodel.cpp
@@ -144,7 +144,7 @@
     double innovationVariance = load.load.variance + error * error;
     std::vector<Estimate> estimates;
     for (const Share &share : shares) {
-        const Estimate &estimate = estimates.emplace_back(coefficientEstimate({ share.image, run.step->image }));
+        const Estimate &estimate = estimates.emplace_back(coefficientEstimate(share.image, run.step->image));
         const double effect = estimate.mean * share.fraction;
         expected += effect;
         innovationVariance +=
@@ -195,15 +195,15 @@
     std::erase_if(m_loads, [now](const auto &entry) { return now - entry.second.at > loadExpiry; });
 }
 
-Estimate NeighbourModel::coefficientEstimate(const Pair &pair) const
+Estimate NeighbourModel::coefficientEstimate(const ImageName &filler, const ImageName &server) const
 {
-    const auto found = m_known.coefficients.find(pair);
+    const auto found = m_known.coefficients.find(NeighbourKnowledge::PairView(filler, server));
     return found == m_known.coefficients.end() ? unknownCoefficient : found->second;
 }
 
 double NeighbourModel::coefficient(const ImageName &filler, const ImageName &server) const
 {
-    return coefficientEstimate({ filler, server }).mean;
+    return coefficientEstimate(filler, server).mean;
 }
 
 double NeighbourModel::limit(const StepSpec &server) const
--- a/src/libjobs/neighbourmodel.h
+++ b/src/libjobs/neighbourmodel.h
@@ -52,8 +52,6 @@
     [[nodiscard]] double fillerStress(const StepSpec &filler, const WorkerLink &link, const ImageName &server) const;
 
 private:
-    using Pair = NeighbourKnowledge::Pair;
-
     struct StepLoad
     {
         Estimate load;
@@ -77,7 +75,7 @@
 
     [[nodiscard]] std::vector<Share> fillerShares(const WorkerLink &link, TimePoint now);
     void learnServer(const LiveRun &run, const std::vector<Share> &shares, TimePoint now);
-    [[nodiscard]] Estimate coefficientEstimate(const Pair &pair) const;
+    [[nodiscard]] Estimate coefficientEstimate(const ImageName &filler, const ImageName &server) const;
     StepLoad &predictLoad(const LiveRun &run, TimePoint now);
     static void updateSlope(StepLoad &load, TimePoint now);
 
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -46,8 +46,9 @@
                     return linkHandlers(worker);
                 } })
     , m_knowledge(options.layout, options.token, context, m_neighbours)
+    , m_interference(m_neighbours)
     , m_pacer(m_neighbours)
-    , m_placer(m_fleet, m_neighbours, m_health)
+    , m_placer(m_fleet, m_neighbours, m_interference, m_health)
     , m_starter({ m_log, m_context, m_fleet, m_placer, m_health, m_queues },
                 [this](const WorkerId &worker, const LiveRun &run, std::string_view reason) {
                     handleRunLoss(worker, run, reason);
@@ -488,6 +489,7 @@
 void RunController::sweep()
 {
     m_neighbours.expireLoads(m_context.now());
+    m_interference.clear();
     // Capacity for fillers changes with the load of serving tasks, which raises no event.
     m_starter.requestPass();
     m_context.schedule(sweepInterval, m_lifetime.guard([this] { sweep(); }));
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -98,6 +98,7 @@
     NeighbourModel m_neighbours;
     KnowledgeStore m_knowledge;
     WorkerHealth m_health;
+    InterferenceTable m_interference;
     FillerPacer m_pacer;
     RunPlacer m_placer;
     RunStarter m_starter;
--- a/src/libjobs/runmonitor.cpp
+++ b/src/libjobs/runmonitor.cpp
@@ -9,6 +9,8 @@
 /** A worker is unsound when all its serving tasks exceed their targets by this factor without filler interference. */
 constexpr std::int64_t unsoundTailFactor = 8;
 constexpr Milliseconds unsoundDelay { 600 };
+/** Fillers that add more stress may be the reason for slow serving tasks. */
+constexpr double maxInnocentStress = 0.1;
 /** A filler kept at or below this pace for haltedDelay is moved. */
 constexpr std::uint32_t haltedPacePercent = 30;
 constexpr Milliseconds haltedDelay { 500 };
@@ -99,20 +101,24 @@
 
 bool RunMonitor::isUnsound(const WorkerLink &link, TimePoint now)
 {
-    std::size_t serving = 0;
-    std::size_t slow = 0;
-    double interference = 0;
+    const auto serves = [](const LiveRun &run) {
+        return run.isServing() && isReady(run) && run.gauge > 0;
+    };
+    bool isSlow = false;
     for (const auto &[ref, run] : link.runs()) {
-        if (!run.isServing() || !isReady(run) || run.gauge <= 0) {
-            continue;
+        if (serves(run)) {
+            isSlow = run.gauge > run.step->tailTarget.count() * unsoundTailFactor;
+            if (!isSlow) {
+                break;
+            }
         }
-        ++serving;
-        slow += run.gauge > run.step->tailTarget.count() * unsoundTailFactor ? 1 : 0;
-        interference = std::max(interference, m_neighbours.addedStress(link, run.step->image));
     }
     // Fillers can saturate a serving task as well, which raises its tail latency in the same way.
-    const bool isInterference = interference > 0.1;
-    if (serving == 0 || slow < serving || isInterference) {
+    const bool isInterference =
+        isSlow && std::ranges::any_of(link.runs(), [this, &link, &serves](const auto &entry) {
+            return serves(entry.second) && m_neighbours.addedStress(link, entry.second.step->image) > maxInnocentStress;
+        });
+    if (!isSlow || isInterference) {
         m_slowSince.erase(link.entry().id);
         return false;
     }
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -31,10 +31,15 @@
 constexpr double firstOfImageCost = 0.5;
 constexpr double interferenceWeight = 5;
 
-double freeFraction(const WorkerLink &link)
+double fractionOf(Millicores processors, const WorkerLink &link)
 {
     const auto capacity = static_cast<double>(link.entry().capacity.processors.value());
-    return 1 - static_cast<double>(link.reservedResources().held().processors.value()) / capacity;
+    return static_cast<double>(processors.value()) / std::max(capacity, 1.0);
+}
+
+double freeFraction(const WorkerLink &link)
+{
+    return 1 - fractionOf(link.reservedResources().held().processors, link);
 }
 
 std::uint32_t tasksOfStep(const WorkerLink &link, const StepRef &step)
@@ -61,9 +66,11 @@
 
 } // namespace
 
-RunPlacer::RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours, const WorkerHealth &health)
+RunPlacer::RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours, InterferenceTable &interference,
+                     const WorkerHealth &health)
     : m_fleet(fleet)
     , m_neighbours(neighbours)
+    , m_interference(interference)
     , m_health(health)
 {
 }
@@ -199,25 +206,14 @@
         return std::nullopt;
     }
     double interference = 0;
-    for (const auto &[ref, run] : link.runs()) {
-        if (!run.isServing()) {
-            continue;
-        }
-        const StepSpec &server = *run.step;
-        const double limit = m_neighbours.limit(server);
-        const double added = m_neighbours.fillerStress(request.step, link, server.image);
-        if (m_neighbours.stress(run).value_or(0) + added > limit - placementStressMargin) {
+    for (const WorkerInterference::Servers &servers : m_interference.of(link).servers) {
+        const double coefficient = m_neighbours.coefficient(request.step.image, servers.image);
+        const double added = coefficient * fractionOf(request.step.need.processors, link);
+        const double excess = std::max(servers.peakOverLimit + added, 0.0);
+        if (servers.stressOverLimit + added > -placementStressMargin || excess > maxPeakExcess) {
             return std::nullopt;
         }
-        const double atPeak =
-            m_neighbours.expectedLoad(ref.task.step, server) + m_neighbours.addedStress(link, server.image) + added;
-        const double excess = std::max(atPeak - limit, 0.0);
-        if (excess > maxPeakExcess) {
-            return std::nullopt;
-        }
-        interference = std::max(interference,
-                                excess * excessWeight
-                                    + m_neighbours.coefficient(request.step.image, server.image) * coefficientWeight);
+        interference = std::max(interference, excess * excessWeight + coefficient * coefficientWeight);
     }
     return std::max(contention, minContention) + interference;
 }
@@ -225,22 +221,18 @@
 /** Packs serving tasks of one image together, which leaves room for fillers that don't interfere with that image. */
 double RunPlacer::servingCost(const WorkerLink &link, const PlacementRequest &request) const
 {
-    double same = 0;
-    double other = 0;
-    for (const auto &[ref, run] : link.runs()) {
-        if (run.isServing()) {
-            (run.step->image == request.step.image ? same : other) += 1;
-        }
-    }
-    const double imageCost = (other > 0 ? mixedImagesCost : 0.0) + (same > 0 ? 0.0 : firstOfImageCost);
-    const double interferenceCost = m_neighbours.addedStress(link, request.step.image) * interferenceWeight;
+    const WorkerInterference &worker = m_interference.of(link);
+    const bool hasSame = std::ranges::find(worker.servers, request.step.image, &WorkerInterference::Servers::image)
+        != worker.servers.end();
+    const bool hasOther = worker.servers.size() > (hasSame ? 1U : 0U);
+    const double imageCost = (hasOther ? mixedImagesCost : 0.0) + (hasSame ? 0.0 : firstOfImageCost);
+    const double interferenceCost = m_interference.addedStress(worker, request.step.image) * interferenceWeight;
     return imageCost + interferenceCost + freeFraction(link);
 }
 
 double RunPlacer::batchCost(const WorkerLink &link)
 {
-    const auto capacity = static_cast<double>(link.entry().capacity.processors.value());
-    return freeFraction(link) + static_cast<double>(link.reservedResources().fillerDemand().value()) / capacity
+    return freeFraction(link) + fractionOf(link.reservedResources().fillerDemand(), link)
         - (link.reservedResources().servingRuns() > 0 ? 1.0 : 0.0);
 }
 
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -33,6 +33,7 @@
     , m_life(m_entry.life)
     , m_lease(timing.longestLease, inheritedUntil)
 {
+    noteChange();
 }
 
 void WorkerLink::begin()
@@ -54,11 +55,25 @@
     m_isListed = isListed;
 }
 
+void WorkerLink::noteChange()
+{
+    static std::uint64_t last = 0;
+    m_revision = ++last;
+}
+
+void WorkerLink::addRun(LiveRun run)
+{
+    m_reserved.add(run);
+    m_runs.emplace(run.ref, std::move(run));
+    noteChange();
+}
+
 LiveRun WorkerLink::removeRun(std::map<RunRef, LiveRun>::iterator place)
 {
     LiveRun run = std::move(place->second);
     m_runs.erase(place);
     m_reserved.remove(run);
+    noteChange();
     return run;
 }
 
@@ -67,8 +82,7 @@
     // A run that never started, or started before the worker restarted, is missing from the first answer.
     run.phase = RunPhase::Inherited;
     run.placedAt = m_context.now();
-    m_reserved.add(run);
-    m_runs.emplace(run.ref, std::move(run));
+    addRun(std::move(run));
 }
 
 void WorkerLink::reserve(LiveRun run)
@@ -76,8 +90,7 @@
     run.phase = RunPhase::Committing;
     run.placedAt = m_context.now();
     run.progressAt = m_context.now();
-    m_reserved.add(run);
-    m_runs.emplace(run.ref, std::move(run));
+    addRun(std::move(run));
 }
 
 void WorkerLink::release(const RunRef &run)
@@ -187,6 +200,7 @@
     }
     place->second.previousPace = std::exchange(place->second.pace, percent);
     place->second.pacedAt = m_context.now();
+    noteChange();
     sendOrder(PaceOrder { m_token, run, percent }, m_lifetime.guard([this, run, percent](const WorkerResult &result) {
         const auto known = m_runs.find(run);
         if (result || known == m_runs.end() || known->second.pace != percent) {
@@ -194,6 +208,7 @@
         }
         // The recorded pace differs from the wanted one, so that the next decision sends the order again.
         known->second.pace = percent == 100 ? 0 : 100;
+        noteChange();
     }));
 }
 
@@ -302,6 +317,7 @@
 
 void WorkerLink::updateRunning(const WorkerAnswer &answer)
 {
+    noteChange();
     for (const RunningRow &row : answer.running) {
         const auto place = m_runs.find(row.run);
         if (place == m_runs.end()) {
@@ -352,8 +368,7 @@
     run.step = m_handlers.describeRun(row.run.task);
     run.phase = RunPhase::Stopping;
     run.settledAt = m_context.now();
-    m_reserved.add(run);
-    m_runs.emplace(run.ref, std::move(run));
+    addRun(std::move(run));
     sendStop(row.run);
 }
 
@@ -491,6 +506,11 @@
     return m_unlistedSince;
 }
 
+std::uint64_t WorkerLink::revision() const
+{
+    return m_revision;
+}
+
 const ReservedResources &WorkerLink::reservedResources() const
 {
     return m_reserved;
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -106,6 +106,8 @@
     [[nodiscard]] bool isListed() const;
     /** When the worker disappeared from the platform's list. */
     [[nodiscard]] TimePoint unlistedSince() const;
+    /** Changes with the runs and what is known of them; no two links ever have the same. */
+    [[nodiscard]] std::uint64_t revision() const;
     /** Resources reserved by the runs. */
     [[nodiscard]] const ReservedResources &reservedResources() const;
 
@@ -129,7 +131,9 @@
     void reportLost(const RunRef &run, std::string_view reason);
     void sendOrder(WorkerOrder order, JobDriver::WorkerHandler then);
     [[nodiscard]] Milliseconds pollWait() const;
+    void addRun(LiveRun run);
     LiveRun removeRun(std::map<RunRef, LiveRun>::iterator place);
+    void noteChange();
 
     WorkerEntry m_entry;
     WriterToken m_token;
@@ -155,6 +159,7 @@
     std::uint32_t m_failedPolls = 0;
     std::map<RunRef, LiveRun> m_runs;
     ReservedResources m_reserved;
+    std::uint64_t m_revision = 0;
 };
 
 } // namespace currantring
--- a/tests/libjobs/fleetfixture.cpp
+++ b/tests/libjobs/fleetfixture.cpp
@@ -33,7 +33,7 @@
                                                                         };
                                                                         return handlers;
                                                                     } });
-    m_placer = std::make_unique<RunPlacer>(*m_fleet, m_neighbours, m_health);
+    m_placer = std::make_unique<RunPlacer>(*m_fleet, m_neighbours, m_interference, m_health);
     m_fleet->start();
     deliverAnswers();
 }
@@ -113,6 +113,11 @@
     return m_health;
 }
 
+InterferenceTable &FleetFixture::interference()
+{
+    return m_interference;
+}
+
 const RunPlacer &FleetFixture::placer() const
 {
     return *m_placer;
--- a/tests/libjobs/fleetfixture.h
+++ b/tests/libjobs/fleetfixture.h
@@ -16,6 +16,7 @@
 
     WorkerFleet &fleet();
     NeighbourModel &neighbours();
+    InterferenceTable &interference();
     WorkerHealth &health();
     [[nodiscard]] const RunPlacer &placer() const;
     [[nodiscard]] TimePoint now() const;
@@ -31,6 +32,7 @@
     std::vector<std::function<void()>> m_answers;
     JobContext m_context;
     NeighbourModel m_neighbours;
+    InterferenceTable m_interference { m_neighbours };
     WorkerHealth m_health;
     std::unique_ptr<WorkerFleet> m_fleet;
     std::unique_ptr<RunPlacer> m_placer;
--- a/tests/libjobs/testplacing.cpp
+++ b/tests/libjobs/testplacing.cpp
@@ -176,4 +176,36 @@
     BOOST_TEST(cache.isKnownNotToFit(requestFor(plainStep(9000))));
 }
 
+/** The writer of a large site had no time left for short jobs, as each placement assessed the runs of all workers. */
+BOOST_AUTO_TEST_CASE(workerIsAssessedAgainOnlyAfterItsRunsChanged)
+{
+    FleetFixture box(workers);
+    fillSome(box);
+    const StepSpec filler = fillerStep("mill", 4000);
+    const StepSpec server = servingStep("desk");
+    for (int pass = 0; pass < 10; ++pass) {
+        BOOST_TEST((box.placer().choose(requestFor(filler), box.now()) != nullptr));
+        BOOST_TEST((box.placer().choose(requestFor(server), box.now()) != nullptr));
+    }
+    BOOST_TEST(box.interference().assessments() == static_cast<std::uint64_t>(workers));
+    box.occupy(3, JobId("serving"), servingStep("desk"));
+    BOOST_TEST((box.placer().choose(requestFor(filler), box.now()) != nullptr));
+    BOOST_TEST(box.interference().assessments() == static_cast<std::uint64_t>(workers) + 1);
+}
+
+BOOST_AUTO_TEST_CASE(interferenceOfAWorkerMatchesTheModel)
+{
+    FleetFixture box(workers);
+    fillSome(box);
+    box.occupy(0, JobId("other"), servingStep("desk"));
+    const WorkerLink &link = *box.fleet().find(WorkerId("0"));
+    const WorkerInterference worker = box.interference().of(link);
+    BOOST_TEST(worker.servers.size() == 2U);
+    for (const WorkerInterference::Servers &servers : worker.servers) {
+        BOOST_TEST(box.interference().addedStress(worker, servers.image)
+                       == box.neighbours().addedStress(link, servers.image),
+                   boost::test_tools::tolerance(1e-9));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
