--- /dev/null
+++ b/src/libjobs/entryhosts.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "jobmessage.h"
+#include "units.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace currantring {
+
+/**
+ * The other entry hosts, as a writer knows them from the store and from their heartbeats.
+ *
+ * Thread safety: one thread at a time.
+ */
+class EntryHosts
+{
+public:
+    /** Adds a host that has sent no heartbeat yet; false when it is known. */
+    bool add(const HostId &host, const Address &address);
+    /** Records a heartbeat; true when the host's address is new or has changed. */
+    bool recordHeartbeat(const HostId &host, const HostHeartbeat &beat, TimePoint now);
+    /** Whether the host has sent a heartbeat. */
+    [[nodiscard]] bool hasHeartbeat(const HostId &host) const;
+    /** Removes the hosts that have long been silent, and returns them. */
+    std::vector<HostId> removeSilent(TimePoint now);
+    /** Removes all hosts, and returns them. */
+    std::vector<HostId> removeAll();
+
+    [[nodiscard]] std::vector<HostId> hosts() const;
+    /** Whether at least half of the hosts that have sent heartbeats still do; with no heartbeat, whether none is known.
+     */
+    [[nodiscard]] bool reachesMost(TimePoint now) const;
+    /** Processor capacity of the largest host that sends heartbeats and isn't shutting down. */
+    [[nodiscard]] Millicores largestProcessors(TimePoint now) const;
+    /** The host that can best take the shard over now; nullopt when none can. */
+    [[nodiscard]] std::optional<HostId> successor(TimePoint now) const;
+    /** The successor, if it has considerably more processors than @p processors and has been reachable for some time.
+     */
+    [[nodiscard]] std::optional<HostId> largerSuccessor(Millicores processors, TimePoint now) const;
+
+private:
+    struct EntryHost
+    {
+        Address address;
+        std::optional<TimePoint> lastHeartbeatAt;
+        /** Beginning of the heartbeats without a gap longer than the host timeout. */
+        TimePoint reachableSince {};
+        HostHeartbeat beat;
+    };
+
+    [[nodiscard]] static bool isReachable(const EntryHost &host, TimePoint now);
+    [[nodiscard]] static bool canSucceed(const EntryHost &host, TimePoint now);
+
+    std::map<HostId, EntryHost> m_hosts;
+};
+
+} // namespace currantring
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -12,10 +12,6 @@
 constexpr Milliseconds heartbeatInterval { 400 };
 /** A writer without a heartbeat for this time is considered unreachable. */
 constexpr Milliseconds writerTimeout { 1000 };
-/** A host without a heartbeat for this time is considered unreachable. */
-constexpr Milliseconds hostTimeout { 1200 };
-/** A host without a heartbeat for this time is removed from the peers. */
-constexpr Milliseconds hostRemovalDelay { 10'000 };
 /** Time that hosts get to connect to a new writer before missing heartbeats count. */
 constexpr Milliseconds peerSettleTime { 1500 };
 /** A writer whose oldest commit is unanswered for longer reports itself as stuck, so that others may claim the shard.
@@ -31,12 +27,6 @@
 constexpr Milliseconds retryDelay { 300 };
 /** How long a writer that hands the shard over waits for its last commit. */
 constexpr Milliseconds finishTimeout { 1000 };
-/** A hand-over interrupts the service, so a larger host must have been reachable for this time before it. */
-constexpr Milliseconds largerHostSettleTime { 3000 };
-/** A larger host must have at least this percentage of the writer's processors. */
-constexpr std::int64_t minLargerHostPercent = 150;
-/** A host that the store hasn't answered for this time can't succeed the writer; longer than its watch waits. */
-constexpr Milliseconds maxSuccessorStoreAge { 5000 };
 
 } // namespace
 
@@ -141,31 +131,6 @@
     return m_election.claim() && m_lastWriterHeartbeatAt && m_context.now() - *m_lastWriterHeartbeatAt < writerTimeout;
 }
 
-bool JobNode::isReachable(const Peer &peer) const
-{
-    return peer.lastHeartbeatAt && m_context.now() - *peer.lastHeartbeatAt < hostTimeout;
-}
-
-bool JobNode::canSucceed(const Peer &peer) const
-{
-    return isReachable(peer) && !peer.beat.isLeaving && peer.beat.storeAge < maxSuccessorStoreAge;
-}
-
-bool JobNode::reachesMostHosts() const
-{
-    if (m_context.now() - m_claimedAt < peerSettleTime) {
-        return true;
-    }
-    std::size_t reachable = 0;
-    std::size_t known = 0;
-    for (const auto &[host, peer] : m_peers) {
-        // Host entries aren't tied to a lease: one that never sent a heartbeat may belong to a removed host.
-        known += peer.lastHeartbeatAt ? 1 : 0;
-        reachable += isReachable(peer) ? 1 : 0;
-    }
-    return known == 0 ? m_peers.empty() : reachable * 2 >= known;
-}
-
 void JobNode::sendHeartbeats()
 {
     if (m_writer) {
@@ -184,19 +149,15 @@
 
 void JobNode::sendWriterHeartbeats()
 {
-    std::erase_if(m_peers, [this](const auto &entry) {
-        const bool isExpired =
-            entry.second.lastHeartbeatAt && m_context.now() - *entry.second.lastHeartbeatAt > hostRemovalDelay;
-        if (isExpired) {
-            m_context.linkPeer(entry.first, std::nullopt);
-        }
-        return isExpired;
-    });
-    m_election.setYielding(!reachesMostHosts());
+    for (const HostId &host : m_hosts.removeSilent(m_context.now())) {
+        m_context.linkPeer(host, std::nullopt);
+    }
+    const bool isSettling = m_context.now() - m_claimedAt < peerSettleTime;
+    m_election.setYielding(!isSettling && !m_hosts.reachesMost(m_context.now()));
     const WriterHeartbeat beat { WriterToken(m_election.claim()->token), m_options.peerAddress,
                                  m_configuration ? m_configuration->version : ConfigurationVersion(0),
-                                 m_writer->commitAge() > stuckCommitAge, largestPeerProcessors() };
-    for (const auto &[host, peer] : m_peers) {
+                                 m_writer->commitAge() > stuckCommitAge, m_hosts.largestProcessors(m_context.now()) };
+    for (const HostId &host : m_hosts.hosts()) {
         m_context.sendPeer(host, beat);
     }
     yieldToLargerHost();
@@ -204,31 +165,17 @@
 
 void JobNode::yieldToLargerHost()
 {
-    const std::optional<HostId> successor =
-        m_isHandingOver || m_isStopping || !m_writer->isActive() ? std::nullopt : chooseSuccessor();
-    if (!successor) {
+    if (m_isHandingOver || m_isStopping || !m_writer->isActive()) {
         return;
     }
-    const Peer &peer = m_peers.at(*successor);
-    const bool isLarger = peer.beat.processors.value() * 100 >= m_options.processors.value() * minLargerHostPercent;
-    if (isLarger && m_context.now() - peer.reachableSince >= largerHostSettleTime) {
+    if (m_hosts.largerSuccessor(m_options.processors, m_context.now())) {
         m_isHandingOver = true;
-        m_election.setLargestHostProcessors(peer.beat.processors);
+        // Lets the larger host claim first.
+        m_election.setLargestHostProcessors(m_hosts.largestProcessors(m_context.now()));
         finishAndHandOver([] {});
     }
 }
 
-Millicores JobNode::largestPeerProcessors() const
-{
-    Millicores most;
-    for (const auto &[host, peer] : m_peers) {
-        if (isReachable(peer) && !peer.beat.isLeaving) {
-            most = std::max(most, peer.beat.processors);
-        }
-    }
-    return most;
-}
-
 void JobNode::handleClaimed(WriterToken token)
 {
     m_claimedAt = m_context.now();
@@ -265,12 +212,11 @@
 
 void JobNode::unlinkPeers(const std::optional<HostId> &except)
 {
-    for (const auto &[host, peer] : m_peers) {
+    for (const HostId &host : m_hosts.removeAll()) {
         if (host != except) {
             m_context.linkPeer(host, std::nullopt);
         }
     }
-    m_peers.clear();
 }
 
 void JobNode::listHosts(const std::string &after)
@@ -283,8 +229,7 @@
                             }
                             for (const KvEntry &entry : result->entries) {
                                 const HostId host = StoreLayout::hostOf(entry.key);
-                                if (host != m_options.self && m_writer && m_peers.try_emplace(host).second) {
-                                    m_peers[host].address = Address(entry.value);
+                                if (host != m_options.self && m_writer && m_hosts.add(host, Address(entry.value))) {
                                     m_context.linkPeer(host, Address(entry.value));
                                 }
                             }
@@ -337,17 +282,10 @@
     if (!m_writer) {
         return;
     }
-    Peer &peer = m_peers[from];
-    if (peer.address != beat.address) {
-        peer.address = beat.address;
+    const bool isNew = !m_hosts.hasHeartbeat(from);
+    if (m_hosts.recordHeartbeat(from, beat, m_context.now())) {
         m_context.linkPeer(from, beat.address);
     }
-    const bool isNew = !peer.lastHeartbeatAt;
-    if (!isReachable(peer)) {
-        peer.reachableSince = m_context.now();
-    }
-    peer.lastHeartbeatAt = m_context.now();
-    peer.beat = beat;
     if (m_configuration && beat.configuration < m_configuration->version && !isNew) {
         m_context.sendPeer(from, ConfigurationOffer { m_configurationText });
     }
@@ -410,7 +348,7 @@
 void JobNode::handOver(const std::function<void()> &then)
 {
     if (m_writer) {
-        const std::optional<HostId> successor = chooseSuccessor();
+        const std::optional<HostId> successor = m_hosts.successor(m_context.now());
         const WriterToken token = m_election.claim()->token;
         m_context.log(
             LogLevel::Info, events::shardHandedOver,
@@ -425,27 +363,6 @@
     then();
 }
 
-std::optional<HostId> JobNode::chooseSuccessor() const
-{
-    const Peer *best = nullptr;
-    std::optional<HostId> host;
-    for (const auto &[id, peer] : m_peers) {
-        if (!canSucceed(peer)) {
-            continue;
-        }
-        // Prefers the shortest uptime: in a rolling restart the host that was restarted last stays up longest.
-        const auto better = [](const Peer &left, const Peer &right) {
-            return std::pair(right.beat.processors, left.beat.uptime)
-                < std::pair(left.beat.processors, right.beat.uptime);
-        };
-        if (best == nullptr || better(peer, *best)) {
-            best = &peer;
-            host = id;
-        }
-    }
-    return host;
-}
-
 std::shared_ptr<const SiteConfiguration> JobNode::configuration() const
 {
     return m_configuration;
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "callgateway.h"
+#include "entryhosts.h"
 #include "jobwriter.h"
 #include "siteformats.h"
 #include "writerelection.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 
@@ -61,15 +61,6 @@
     [[nodiscard]] bool isWriter() const;
 
 private:
-    struct Peer
-    {
-        Address address;
-        std::optional<TimePoint> lastHeartbeatAt;
-        /** Beginning of the heartbeats without a gap longer than the host timeout. */
-        TimePoint reachableSince {};
-        HostHeartbeat beat;
-    };
-
     void applyConfiguration(const std::string &text, std::string_view source);
     void registerHost();
     void sendHeartbeats();
@@ -88,13 +79,7 @@
     void handOver(const std::function<void()> &then);
     void destroyWriter();
     void unlinkPeers(const std::optional<HostId> &except);
-    [[nodiscard]] bool isReachable(const Peer &peer) const;
-    [[nodiscard]] bool canSucceed(const Peer &peer) const;
-    [[nodiscard]] std::optional<HostId> chooseSuccessor() const;
-    /** Processor capacity of the largest peer that sends heartbeats and isn't shutting down. */
-    [[nodiscard]] Millicores largestPeerProcessors() const;
     [[nodiscard]] bool isWriterReachable() const;
-    [[nodiscard]] bool reachesMostHosts() const;
 
     JobNodeOptions m_options;
     SiteFormats m_formats;
@@ -111,7 +96,8 @@
     std::unique_ptr<JobWriter> m_writer;
     TimePoint m_claimedAt {};
     CallGateway m_gateway;
-    std::map<HostId, Peer> m_peers;
+    /** Known while this host is the writer, and until the next claim. */
+    EntryHosts m_hosts;
     /** Last heartbeat from the holder of the current claim. */
     std::optional<TimePoint> m_lastWriterHeartbeatAt;
     std::optional<HostId> m_linkedWriter;
