Confirm the claim only if a repeated commit met it

Cause: a commit whose answer was lost is sent again and refused, since its slot exists. The store's refusal names the claim, too: the commit counts as done, and the shard as lost if the claim is another's.

--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -262,7 +262,8 @@
         return;
     }
     if (result) {
-        finishCommit(sentAt);
+        m_lastConfirmed = std::max(m_lastConfirmed, sentAt);
+        finishCommit();
     } else if (result.error().kind == KvErrorKind::Conflict) {
         handleConflict(result.error(), sentAt);
     }
@@ -271,28 +272,32 @@
 
 void JobLog::handleConflict(const KvError &error, TimePoint sentAt)
 {
-    for (const KvEntry &entry : error.entries) {
-        if (entry.key == m_layout.logKey(m_inFlight->slot)) {
-            const std::optional<JobSlot> found = decodeJobSlot(entry.value);
-            if (found && found->nonce == m_nonce) {
-                // An earlier attempt was applied, and its answer was lost or is delayed.
-                finishCommit(sentAt);
-            } else {
-                handleShardLost("slot-taken");
-            }
-            return;
+    const std::string logKey = m_layout.logKey(m_inFlight->slot);
+    const bool isClaimHeld = std::ranges::any_of(error.entries, [this](const KvEntry &entry) {
+        return entry.key == m_layout.claimKey() && entry.revision.value() == m_token.value();
+    });
+    const auto slot = std::ranges::find(error.entries, logKey, &KvEntry::key);
+    const std::optional<JobSlot> found = slot == error.entries.end() ? std::nullopt : decodeJobSlot(slot->value);
+    if (found && found->nonce == m_nonce) {
+        // An earlier attempt was applied, and its answer was lost or is delayed.
+        if (isClaimHeld) {
+            m_lastConfirmed = std::max(m_lastConfirmed, sentAt);
         }
+        finishCommit();
+    } else if (slot != error.entries.end()) {
+        handleShardLost("slot-taken");
+    }
+    if (!isClaimHeld) {
+        handleShardLost("claim-superseded");
     }
-    handleShardLost("claim-superseded");
 }
 
-void JobLog::finishCommit(TimePoint sentAt)
+void JobLog::finishCommit()
 {
     if (m_resendTimer) {
         m_context.cancel(*m_resendTimer);
         m_resendTimer.reset();
     }
-    m_lastConfirmed = std::max(m_lastConfirmed, sentAt);
     const CommitGroup group = std::move(*m_inFlight);
     m_inFlight.reset();
     m_averageCommitTime += (m_context.now() - group.begunAt - m_averageCommitTime) / averageWeightDivisor;
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -97,7 +97,7 @@
     void send();
     void handleCommit(std::uint64_t slot, TimePoint sentAt, const KvResult &result);
     void handleConflict(const KvError &error, TimePoint sentAt);
-    void finishCommit(TimePoint sentAt);
+    void finishCommit();
     void handleShardLost(std::string_view reason);
     void setBaseSlot(const JobRecord &record, std::uint64_t slot);
     [[nodiscard]] bool isRetentionOver(const Job &job) const;
