Number forwarded calls from a random start

A caller could be told the answer to another host process's call: 503 for a job that then starts (REFUSED).

Cause: each process numbered its calls from 1, and the writer answers by host and number. After a restart within the time that a call waits at the writer, its answer reached the new process and met a call of the same number.

Failed before: Answers/answerToAnEarlierProcessIsNotTaken.

--- a/src/libjobs/callgateway.cpp
+++ b/src/libjobs/callgateway.cpp
@@ -19,12 +19,15 @@
 constexpr Milliseconds resendInterval { 1000 };
 /** Approximate duration of a change of the writer. */
 constexpr Milliseconds retryAfter { 1000 };
+constexpr std::uint64_t maxFirstNumber = std::uint64_t { 1 } << 48U;
 
 } // namespace
 
 CallGateway::CallGateway(JobContext &context, Sender send)
     : m_context(context)
     , m_send(std::move(send))
+    // The writer may still answer calls of an earlier process on this host.
+    , m_lastNumber(uniformBelow(context.random(), maxFirstNumber))
 {
 }
 
--- a/src/libjobs/callgateway.h
+++ b/src/libjobs/callgateway.h
@@ -57,7 +57,7 @@
     JobContext &m_context;
     Sender m_send;
     Lifetime m_lifetime;
-    std::uint64_t m_lastNumber = 0;
+    std::uint64_t m_lastNumber;
     std::map<ForwardNumber, Pending> m_pending;
     bool m_isSweeping = false;
 };
--- a/tests/libjobs/testanswers.cpp
+++ b/tests/libjobs/testanswers.cpp
@@ -121,4 +121,35 @@
     BOOST_TEST((site.phaseOf(job.id) == JobPhase::Running));
 }
 
+/**
+ * A host's next process numbers its calls from 1 again, and takes the writer's answer to a call of its former process
+ * for the answer to its own.
+ */
+BOOST_AUTO_TEST_CASE(answerToAnEarlierProcessIsNotTaken)
+{
+    VirtualSite site({});
+    site.run(startTime);
+    const HostId writer = site.writer().value();
+    const HostId other = site.hosts().front() == writer ? site.hosts().back() : site.hosts().front();
+    // The writer is cut off from the store, which doesn't end leases meanwhile.
+    site.store().suspendLeaseExpiry(true, site.now());
+    site.setStoreFault(writer, StoreFault::Silent);
+    // A count of an idle writer is answered after a look at the claim, which takes up to 1 s.
+    site.run(Milliseconds(2100));
+    site.send(other, CountWaiting { QueueName("batch") });
+    site.run(Milliseconds(20));
+    site.killHost(other);
+    site.restartHost(other);
+    BOOST_TEST(site.runUntil([&site, &other] { return site.isReady(other); }, Milliseconds(900)));
+    const std::size_t call = site.send(other, SubmitJob { std::make_shared<const JobSpec>(batchJob(1)) });
+    site.runUntil([&site, call] { return site.calls()[call].answer.has_value(); }, Milliseconds(1000));
+    site.setStoreFault(writer, StoreFault::None);
+    site.run(Milliseconds(5000));
+    const std::optional<CallAnswer> &answer = site.calls()[call].answer;
+    BOOST_TEST((answer && answer->outcome != CallOutcome::Refused));
+    for (const std::string &violation : site.judge().violations()) {
+        BOOST_ERROR(violation);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
