Count the moves of one report when a task may be moved

More tasks of a step could be stopped together than may be away (AVAIL).

Cause: a report of a worker may move two runs. Each was allowed on the state before the other's stop, so that two tasks of a step with mayMiss 1 were stopped in the same millisecond.

Failed before: SiteWithoutRandomFaults/movesOfOneReportRespectTheTasksThatMayBeAway (3 checks).

--- a/src/libjobs/runmonitor.cpp
+++ b/src/libjobs/runmonitor.cpp
@@ -59,7 +59,7 @@
             continue;
         }
         const std::string_view reason = reasonToMove(run, isWorkerUnsound, now);
-        if (reason.empty() || !mayMove(run)) {
+        if (reason.empty() || !mayMove(run, moves)) {
             continue;
         }
         if (hasBetterPlace(run, link, reason == haltedReason, now)) {
@@ -190,9 +190,15 @@
     std::erase_if(m_durations, [&job](const auto &entry) { return entry.first.job == job; });
 }
 
-bool RunMonitor::mayMove(const LiveRun &run) const
+/** @p moves: the moves already decided, of which the runs are still available. */
+bool RunMonitor::mayMove(const LiveRun &run, const std::vector<RunMove> &moves) const
 {
-    return run.step->mayMiss == 0 || !isReady(run) || m_sources.unavailableSiblings(run) < run.step->mayMiss;
+    if (run.step->mayMiss == 0 || !isReady(run)) {
+        return true;
+    }
+    const auto siblings =
+        std::ranges::count_if(moves, [&run](const RunMove &move) { return move.run.task.step == run.ref.task.step; });
+    return m_sources.unavailableSiblings(run) + static_cast<std::uint32_t>(siblings) < run.step->mayMiss;
 }
 
 } // namespace currantring
--- a/src/libjobs/runmonitor.h
+++ b/src/libjobs/runmonitor.h
@@ -50,7 +50,7 @@
 private:
     [[nodiscard]] bool isUnsound(const WorkerLink &link, TimePoint now);
     [[nodiscard]] std::string_view reasonToMove(const LiveRun &run, bool isWorkerUnsound, TimePoint now) const;
-    [[nodiscard]] bool mayMove(const LiveRun &run) const;
+    [[nodiscard]] bool mayMove(const LiveRun &run, const std::vector<RunMove> &moves) const;
     bool hasBetterPlace(const LiveRun &run, const WorkerLink &link, bool isHalted, TimePoint now);
     [[nodiscard]] static bool isStalled(const LiveRun &run, TimePoint now);
     [[nodiscard]] bool isStraggler(const LiveRun &run, TimePoint now) const;
--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -2,6 +2,8 @@
 #include "virtualjobs.h"
 #include "virtualsite.h"
 
+#include <map>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace currantring;
@@ -275,4 +277,28 @@
     BOOST_TEST(site.logCount(events::runMoved) == 1U);
 }
 
+/** Two moves of one report are both allowed on the state before the first of them. */
+BOOST_AUTO_TEST_CASE(movesOfOneReportRespectTheTasksThatMayBeAway)
+{
+    VirtualSiteOptions options;
+    options.workers = 3;
+    VirtualSite site(options);
+    site.run(startTime);
+    JobSpec job = withPayload(lastingJob(1, 2), "tail=900");
+    job.steps.front().mayMiss = 1;
+    BOOST_TEST(site.submit(job));
+    site.record(true);
+    site.run(Milliseconds(6000));
+    std::map<std::string, int> movesAt;
+    for (const std::string &line : site.transcript()) {
+        if (line.find("event=run_moved") != std::string::npos) {
+            ++movesAt[line.substr(0, line.find(' '))];
+        }
+    }
+    BOOST_TEST(!movesAt.empty());
+    for (const auto &[at, moves] : movesAt) {
+        BOOST_TEST(moves == 1, moves << " tasks of a step with mayMiss 1 are stopped together at " << at << " ms");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
