Assess a worker again when its capacity changes

The share that fillers take of a worker was kept when its entry told another capacity, up to 500 ms. Found by a reader of InterferenceTable.

Failed before: Placing/changedCapacityIsAssessedAgain.

--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -43,6 +43,9 @@
 
 void WorkerLink::setEntry(WorkerEntry entry)
 {
+    if (entry.capacity != m_entry.capacity) {
+        noteChange();
+    }
     m_entry = std::move(entry);
     setListed(true);
 }
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -106,7 +106,7 @@
     [[nodiscard]] bool isListed() const;
     /** When the worker disappeared from the platform's list. */
     [[nodiscard]] TimePoint unlistedSince() const;
-    /** Changes with the runs and what is known of them; no two links ever have the same. */
+    /** Changes with the runs, what is known of them, and the capacity; no two links ever have the same. */
     [[nodiscard]] std::uint64_t revision() const;
     /** Resources reserved by the runs. */
     [[nodiscard]] const ReservedResources &reservedResources() const;
--- a/tests/libjobs/testplacing.cpp
+++ b/tests/libjobs/testplacing.cpp
@@ -208,4 +208,22 @@
     }
 }
 
+/** What a worker can carry changes without a change of its runs. */
+BOOST_AUTO_TEST_CASE(changedCapacityIsAssessedAgain)
+{
+    FleetFixture box(2);
+    StepSpec filler;
+    filler.count = 1;
+    filler.need = { Millicores(6000), Mebibytes(1000), AcceleratorCount(0) };
+    filler.isFiller = true;
+    filler.image = ImageName("press");
+    box.occupy(0, JobId("filling"), filler);
+    WorkerLink &link = *box.fleet().find(WorkerId("0"));
+    const double before = box.interference().of(link).fillers.front().share;
+    WorkerEntry entry = link.entry();
+    entry.capacity.processors = Millicores(entry.capacity.processors.value() / 4);
+    link.setEntry(entry);
+    BOOST_TEST(box.interference().of(link).fillers.front().share == before * 4, boost::test_tools::tolerance(1e-9));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
