Hand the shard over once, to the host that it was meant for

- A larger host that sends heartbeats but can't claim got the shard again and again: 6 hand-overs, 1.9 s without a writer in 10 s.
So did one that restarts every few seconds: 6 hand-overs, 5.8 s without a writer in 39 s.
A writer hands over once in 30 s now, and only to a host that has been up for 10 s; heartbeats from an earlier time as the writer don't count.
- The hand-over was decided for the larger host and, after the flush, given to whoever was best then, also to a smaller host.
It goes to the host that it was decided for.
- A host waits 600 ms at most for a larger one.
With hosts of 4 and 0.25 processors, of which the large one can't reach the store, a takeover took 2.9 s.

--- a/src/libjobs/entryhosts.cpp
+++ b/src/libjobs/entryhosts.cpp
@@ -12,6 +12,8 @@
 constexpr Milliseconds hostRemovalDelay { 10'000 };
 /** A hand-over interrupts the service, so a larger host must have been reachable for this time before it. */
 constexpr Milliseconds largerHostSettleTime { 3000 };
+/** A host that restarts again and again must not get the shard each time. */
+constexpr Milliseconds minLargerHostUptime { 10'000 };
 /** A larger host must have at least this percentage of the writer's processors. */
 constexpr std::int64_t minLargerHostPercent = 150;
 /** A host that the store hasn't answered for this time can't succeed the writer; longer than its watch waits. */
@@ -130,7 +132,8 @@
     }
     const EntryHost &host = m_hosts.at(*best);
     const bool isLarger = host.beat.processors.value() * 100 >= processors.value() * minLargerHostPercent;
-    return isLarger && now - host.reachableSince >= largerHostSettleTime ? best : std::nullopt;
+    const bool isSettled = now - host.reachableSince >= largerHostSettleTime && host.beat.uptime >= minLargerHostUptime;
+    return isLarger && isSettled ? best : std::nullopt;
 }
 
 } // namespace currantring
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -27,6 +27,8 @@
 constexpr Milliseconds retryDelay { 300 };
 /** How long a writer that hands the shard over waits for its last commit. */
 constexpr Milliseconds finishTimeout { 1000 };
+/** A larger host that couldn't keep the shard gets it again only after this time. */
+constexpr Milliseconds minHandOverInterval { 30'000 };
 
 } // namespace
 
@@ -154,9 +156,14 @@
     }
     const bool isSettling = m_context.now() - m_claimedAt < peerSettleTime;
     m_election.setYielding(!isSettling && !m_hosts.reachesMost(m_context.now()));
+    Millicores largest = m_hosts.largestProcessors(m_context.now());
+    if (isSettling) {
+        // The other hosts haven't been heard yet; the former writer has told their size.
+        largest = std::max(largest, m_election.largestHostProcessors().value_or(Millicores(0)));
+    }
     const WriterHeartbeat beat { WriterToken(m_election.claim()->token), m_options.peerAddress,
                                  m_configuration ? m_configuration->version : ConfigurationVersion(0),
-                                 m_writer->commitAge() > stuckCommitAge, m_hosts.largestProcessors(m_context.now()) };
+                                 m_writer->commitAge() > stuckCommitAge, largest };
     for (const HostId &host : m_hosts.hosts()) {
         m_context.sendPeer(host, beat);
     }
@@ -165,20 +172,25 @@
 
 void JobNode::yieldToLargerHost()
 {
-    if (m_isHandingOver || m_isStopping || !m_writer->isActive()) {
+    const TimePoint now = m_context.now();
+    const bool isTooEarly = m_handedOverAt && now - *m_handedOverAt < minHandOverInterval;
+    if (m_isHandingOver || m_isStopping || isTooEarly || !m_writer->isActive()) {
         return;
     }
-    if (m_hosts.largerSuccessor(m_options.processors, m_context.now())) {
+    if (const std::optional<HostId> successor = m_hosts.largerSuccessor(m_options.processors, now)) {
         m_isHandingOver = true;
+        m_handedOverAt = now;
         // Lets the larger host claim first.
-        m_election.setLargestHostProcessors(m_hosts.largestProcessors(m_context.now()));
-        finishAndHandOver([] {});
+        m_election.setLargestHostProcessors(m_hosts.largestProcessors(now));
+        finishWriter([this, successor] { handOver(successor); });
     }
 }
 
 void JobNode::handleClaimed(WriterToken token)
 {
     m_claimedAt = m_context.now();
+    // What was known of the hosts as an earlier writer is out of date.
+    m_hosts.removeAll();
     RunController::Options options;
     options.layout = m_layout;
     options.token = token;
@@ -327,40 +339,39 @@
         then();
         return;
     }
-    finishAndHandOver([this, then = std::move(then)] {
+    finishWriter([this, then = std::move(then)] {
+        handOver(m_hosts.successor(m_context.now()));
         m_election.retire();
         then();
     });
 }
 
-void JobNode::finishAndHandOver(std::function<void()> then)
+void JobNode::finishWriter(std::function<void()> then)
 {
     const auto finished = std::make_shared<bool>(false);
-    const auto once = m_lifetime.guard([this, finished, then = std::move(then)] {
+    const auto once = m_lifetime.guard([finished, then = std::move(then)] {
         if (!std::exchange(*finished, true)) {
-            handOver(then);
+            then();
         }
     });
     m_writer->finish(once);
     m_context.schedule(finishTimeout, once);
 }
 
-void JobNode::handOver(const std::function<void()> &then)
+void JobNode::handOver(const std::optional<HostId> &successor)
 {
-    if (m_writer) {
-        const std::optional<HostId> successor = m_hosts.successor(m_context.now());
-        const WriterToken token = m_election.claim()->token;
-        m_context.log(
-            LogLevel::Info, events::shardHandedOver,
-            { { "to", successor ? successor->value() : "anyone" }, { "token", std::to_string(token.value()) } });
-        if (successor) {
-            m_context.sendPeer(*successor, HandOver { token });
-        }
-        m_election.resign();
-        // The links stay until the next claim, as the message and the last answers are still on their way.
-        destroyWriter();
+    if (!m_writer) {
+        return;
+    }
+    const WriterToken token = m_election.claim()->token;
+    m_context.log(LogLevel::Info, events::shardHandedOver,
+                  { { "to", successor ? successor->value() : "anyone" }, { "token", std::to_string(token.value()) } });
+    if (successor) {
+        m_context.sendPeer(*successor, HandOver { token });
     }
-    then();
+    m_election.resign();
+    // The links stay until the next claim, as the message and the last answers are still on their way.
+    destroyWriter();
 }
 
 std::shared_ptr<const SiteConfiguration> JobNode::configuration() const
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -74,9 +74,10 @@
     bool sendCall(ForwardNumber number, const CallerCall &call, Milliseconds timeLeft);
     /** Hands the shard over if a considerably larger host has been reachable for some time. */
     void yieldToLargerHost();
-    /** Flushes the log, hands the shard over and runs @p then. */
-    void finishAndHandOver(std::function<void()> then);
-    void handOver(const std::function<void()> &then);
+    /** Flushes the log and runs @p then, at the latest after some time without an answer of the store. */
+    void finishWriter(std::function<void()> then);
+    /** Gives the shard up for @p successor, or for any host. */
+    void handOver(const std::optional<HostId> &successor);
     void destroyWriter();
     void unlinkPeers(const std::optional<HostId> &except);
     [[nodiscard]] bool isWriterReachable() const;
@@ -103,6 +104,8 @@
     std::optional<HostId> m_linkedWriter;
     bool m_isStopping = false;
     bool m_isHandingOver = false;
+    /** Last hand-over to a larger host. */
+    std::optional<TimePoint> m_handedOverAt;
 };
 
 } // namespace currantring
--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -20,6 +20,8 @@
 /** Claim delay for each processor that a host has less than the largest host. */
 constexpr std::int64_t delayPerProcessorBelowLargestMs = 500;
 constexpr Millicores wholeProcessor { 1000 };
+/** The largest host may be unable to claim, so the others don't wait longer than this for it. */
+constexpr Milliseconds maxClaimDelay { 600 };
 constexpr Milliseconds claimTimeout { 700 };
 constexpr Milliseconds renewTimeout { 400 };
 /** A host whose reads take longer would be no improvement on a stuck writer. */
@@ -138,6 +140,11 @@
     m_largestHostProcessors = processors;
 }
 
+std::optional<Millicores> WriterElection::largestHostProcessors() const
+{
+    return m_largestHostProcessors;
+}
+
 void WriterElection::checkWriter()
 {
     const std::string_view reason = reasonToClaim();
@@ -160,7 +167,7 @@
     const std::int64_t missing = std::max<std::int64_t>(most - m_options.processors.value(), 0);
     const std::int64_t perProcessor =
         m_largestHostProcessors ? delayPerProcessorBelowLargestMs : delayPerProcessorBelowWholeMs;
-    return m_claimJitter + Milliseconds(missing * perProcessor / wholeProcessor.value());
+    return m_claimJitter + std::min(Milliseconds(missing * perProcessor / wholeProcessor.value()), maxClaimDelay);
 }
 
 std::string_view WriterElection::reasonToClaim() const
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -59,6 +59,7 @@
     void recordHeartbeat(WriterToken token, bool isStuck);
     /** Sets the processor capacity of the largest host that may succeed the writer. */
     void setLargestHostProcessors(Millicores processors);
+    [[nodiscard]] std::optional<Millicores> largestHostProcessors() const;
     /** Attempts a claim on request of the writer with @p token, which hands the shard over. */
     void acceptHandOver(WriterToken token);
     /** Gives the shard up as its writer, and ends the lease so that other hosts can claim the shard at once. */
