Count a new claim as a sign of life of its writer

A takeover could still go through two writers, and a larger host that is late could lose the shard that was just handed to it.

Cause: a host that lost the race for a claim learns of the winner from the refusal, which doesn't name the winner's sign of life. It knew of no heartbeat and still saw the former writer's end, and claimed over the winner. A writer that had handed the shard over claimed it back after 0.2 s in the same way.

A claim that comes after the first reading of the store counts as a heartbeat, and so does the own resignation.

--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -96,6 +96,10 @@
     m_claimRevision = entry.revision;
     m_claim = decodeClaim(entry);
     m_lastHeartbeatAt.reset();
+    if (m_watch.isSynced()) {
+        // The new writer's sign of life may not have been seen yet.
+        m_lastHeartbeatAt = m_context.now();
+    }
     m_readableSince.reset();
     if (!m_claim) {
         return;
@@ -288,6 +292,8 @@
 {
     m_token.reset();
     m_isYielding = false;
+    // Leaves the next writer time to claim.
+    m_lastHeartbeatAt = m_context.now();
     if (m_lease) {
         m_context.callStore(KvEndLease { *m_lease }, renewTimeout, [](const KvResult & /*result*/) {
             // The lease expires by itself if the request is lost.
--- a/tests/libjobs/testtakeover.cpp
+++ b/tests/libjobs/testtakeover.cpp
@@ -264,4 +264,55 @@
     BOOST_TEST((site.now() - before).count() < 2000);
 }
 
+/** A larger host whose process is late claims too late each time, and gets the shard again at once. */
+BOOST_AUTO_TEST_CASE(shardIsNotHandedToAndFroWithAHostThatIsLate)
+{
+    for (Milliseconds late(100); late <= Milliseconds(500); late += Milliseconds(100)) {
+        VirtualSite site(siteOfTwoSizes(1));
+        site.killHost(HostId("h0"));
+        site.killHost(HostId("h3"));
+        site.run(startTime);
+        site.restartHost(HostId("h0"));
+        site.run(Milliseconds(500));
+        site.throttleHost(HostId("h0"), late);
+        const std::size_t claims = site.logCount(events::shardClaimed);
+        Milliseconds withoutWriter {};
+        for (int step = 0; step < 2000; ++step) {
+            site.run(Milliseconds(10));
+            withoutWriter += Milliseconds(site.writers() == 0 ? 10 : 0);
+        }
+        BOOST_TEST(site.logCount(events::shardHandedOver) <= 1U,
+                   "late by " << late.count() << " ms: " << site.logCount(events::shardHandedOver) << " hand-overs, "
+                              << site.logCount(events::shardClaimed) - claims << " claims, " << withoutWriter.count()
+                              << " ms without a writer in 20 s");
+    }
+}
+
+/**
+ * A host that lost the race for a claim learns of the winner from the refusal. If its watch is late, it doesn't know
+ * the winner's sign of life yet, and claims over the winner.
+ */
+BOOST_AUTO_TEST_CASE(loserOfARaceDoesNotClaimOverTheWinner)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        VirtualSiteOptions options;
+        options.seed = seed;
+        VirtualSite site(options);
+        site.run(startTime);
+        const HostId writer = site.writer().value();
+        const HostId other = site.hosts().front() == writer ? site.hosts().back() : site.hosts().front();
+        const std::size_t before = site.logCount(events::shardClaimed);
+        site.killHost(writer);
+        // The watch that is under way tells the end of the lease; the answer to the next one is lost.
+        site.setStoreFault(other, StoreFault::Silent);
+        const std::string aliveKey = StoreLayout().aliveKey();
+        BOOST_TEST(site.runUntil([&site, &aliveKey] { return !site.store().read(aliveKey); }, Milliseconds(3000)));
+        site.run(Milliseconds(10));
+        site.setStoreFault(other, StoreFault::None);
+        site.run(Milliseconds(4000));
+        BOOST_TEST(site.logCount(events::shardClaimed) == before + 1,
+                   "seed " << seed << ": " << site.logCount(events::shardClaimed) - before << " claims");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
