Pass on the next writer's refusal at once

After a change of the writer, refused callers were told 504 after 1.2 s instead of 503, and a refused count of waiting jobs was answered only at its deadline.

Cause: copies that were sent to the former writer stayed counted. What it hadn't committed before the next claim can't be committed any more, and what it had the next writer knows, so the next writer's answer alone decides. Answers of former writers are dropped. Reads have no effect, so their refusals aren't held back for other copies.

--- a/src/libjobs/callgateway.cpp
+++ b/src/libjobs/callgateway.cpp
@@ -2,6 +2,7 @@
 
 #include "jobevents.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace currantring {
@@ -21,6 +22,11 @@
 constexpr Milliseconds retryAfter { 1000 };
 constexpr std::uint64_t maxFirstNumber = std::uint64_t { 1 } << 48U;
 
+bool isChange(const CallerCall &call)
+{
+    return std::holds_alternative<SubmitJob>(call) || std::holds_alternative<CancelJob>(call);
+}
+
 } // namespace
 
 CallGateway::CallGateway(JobContext &context, Sender send)
@@ -59,7 +65,7 @@
     if (!m_send(number, call, timeLeft)) {
         Pending &unsent = m_pending.at(number);
         unsent.sentAt = previouslySentAt;
-        --unsent.unansweredCopies;
+        unsent.unansweredCopies -= std::min<std::size_t>(unsent.unansweredCopies, 1);
     }
 }
 
@@ -76,6 +82,14 @@
     }
 }
 
+void CallGateway::handleWriterChange()
+{
+    for (auto &[number, pending] : m_pending) {
+        pending.unansweredCopies = 0;
+        pending.isRefused = false;
+    }
+}
+
 void CallGateway::complete(ForwardNumber number, const CallAnswer &answer)
 {
     const auto found = m_pending.find(number);
@@ -83,8 +97,8 @@
         return;
     }
     Pending &pending = found->second;
-    --pending.unansweredCopies;
-    if (answer.outcome == CallOutcome::Refused && pending.unansweredCopies > 0) {
+    pending.unansweredCopies -= std::min<std::size_t>(pending.unansweredCopies, 1);
+    if (answer.outcome == CallOutcome::Refused && pending.unansweredCopies > 0 && isChange(pending.call)) {
         pending.isRefused = true;
         return;
     }
@@ -132,9 +146,8 @@
             continue;
         }
         Pending &pending = found->second;
-        const bool isChange =
-            std::holds_alternative<SubmitJob>(pending.call) || std::holds_alternative<CancelJob>(pending.call);
-        const bool isExpired = now >= pending.deadline || (isChange && now - pending.acceptedAt >= changeTimeout);
+        const bool isExpired =
+            now >= pending.deadline || (isChange(pending.call) && now - pending.acceptedAt >= changeTimeout);
         if (!pending.sentAt && (isExpired || now - pending.acceptedAt >= writerTimeout)) {
             finish(number, { CallOutcome::Refused, {}, 0, retryAfter }, "no-writer");
         } else if (isExpired) {
--- a/src/libjobs/callgateway.h
+++ b/src/libjobs/callgateway.h
@@ -33,6 +33,11 @@
     void complete(ForwardNumber number, const CallAnswer &answer);
     /** Resends all pending calls, after a change of the writer or of the connection to it. */
     void resend();
+    /**
+     * Another host has become the writer. Copies sent to an earlier one have no effect beyond what the log shows to the
+     * next writer, so its answers alone count; the caller of the function drops those of earlier writers.
+     */
+    void handleWriterChange();
     /** Drops the pending calls of a caller that has disconnected. */
     void forget(CallerToken caller);
 
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -254,6 +254,7 @@
 void JobNode::followWriter(const WriterClaim &claim)
 {
     m_lastWriterHeartbeatAt.reset();
+    m_gateway.handleWriterChange();
     if (!m_writer) {
         unlinkPeers(claim.host);
     }
@@ -283,7 +284,10 @@
                              }));
         }
     } else if (const auto *answer = std::get_if<ForwardedAnswer>(&message)) {
-        m_gateway.complete(answer->number, answer->answer);
+        // A former writer's refusal doesn't bind the next one.
+        if (m_election.claim() && m_election.claim()->host == from) {
+            m_gateway.complete(answer->number, answer->answer);
+        }
     } else if (const auto *handOver = std::get_if<HandOver>(&message)) {
         m_election.acceptHandOver(handOver->token);
     }
--- a/tests/libjobs/testcallgateway.cpp
+++ b/tests/libjobs/testcallgateway.cpp
@@ -129,4 +129,35 @@
     requireOnlyAnswer(CallOutcome::Refused);
 }
 
+/** A refused read changes nothing, so its answer isn't held back for other copies. */
+BOOST_AUTO_TEST_CASE(refusedReadIsPassedOnAtOnce)
+{
+    gateway.accept(CallerToken(1), CountWaiting { QueueName("batch") }, callTimeout);
+    gateway.resend();
+    complete(CallOutcome::Refused);
+    requireOnlyAnswer(CallOutcome::Refused);
+}
+
+/** What an earlier writer left uncommitted can't be committed any more, so only the next writer's refusal counts. */
+BOOST_AUTO_TEST_CASE(refusalOfTheNextWriterIsPassedOnAtOnce)
+{
+    submit();
+    gateway.handleWriterChange();
+    gateway.resend();
+    complete(CallOutcome::Refused);
+    requireOnlyAnswer(CallOutcome::Refused);
+}
+
+BOOST_AUTO_TEST_CASE(callRefusedByAnEarlierWriterIsSentToTheNext)
+{
+    submit();
+    gateway.resend();
+    complete(CallOutcome::Refused);
+    gateway.handleWriterChange();
+    gateway.resend();
+    BOOST_TEST(copies.size() == 3U);
+    complete(CallOutcome::Accepted);
+    requireOnlyAnswer(CallOutcome::Accepted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
