--- /dev/null
+++ b/tests/libsite/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE libsite
+#include <boost/test/unit_test.hpp>
