Tell in the log and the metrics when a process runs its timers late

Once a second the worst goes into the histogram timer_late_ms, and only when a round was late there is a line process_late.

--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -8,6 +8,7 @@
 inline constexpr std::string_view processStarted = "process_started";
 inline constexpr std::string_view processStopping = "process_stopping";
 inline constexpr std::string_view processStopped = "process_stopped";
+inline constexpr std::string_view processLate = "process_late";
 inline constexpr std::string_view settingsReloaded = "settings_reloaded";
 
 inline constexpr std::string_view storeLost = "store_lost";
