Look a filler's coefficients up once for all workers

Each comparison of a filler found the coefficient of its image and each serving image of the worker in a map with two texts as key, and asked the worker's health three times by its id.

InterferenceTable numbers the serving images and keeps the coefficients of the filler that was asked for last, until the model's coefficients change. Workers without a failure on record are asked for once. The durations of a step's completed tasks are kept sorted, in place of a sorted copy for each run and report.

Placing/coefficientsFollowTheModel compares the table with the model before and after it learns.

--- a/src/libjobs/interferencetable.cpp
+++ b/src/libjobs/interferencetable.cpp
@@ -38,9 +38,41 @@
 void InterferenceTable::clear()
 {
     m_entries.clear();
+    m_images.clear();
+    m_coefficients = {};
 }
 
-WorkerInterference InterferenceTable::assess(const WorkerLink &link) const
+double InterferenceTable::coefficient(const ImageName &filler, const WorkerInterference::Servers &servers)
+{
+    const bool isKnown = servers.imageIndex < m_coefficients.values.size()
+        && m_coefficients.revision == m_neighbours.coefficientRevision() && m_coefficients.filler == filler;
+    if (!isKnown) {
+        readCoefficients(filler);
+    }
+    return m_coefficients.values[servers.imageIndex];
+}
+
+void InterferenceTable::readCoefficients(const ImageName &filler)
+{
+    m_coefficients.filler = filler;
+    m_coefficients.revision = m_neighbours.coefficientRevision();
+    m_coefficients.values.clear();
+    for (const ImageName &image : m_images) {
+        m_coefficients.values.push_back(m_neighbours.coefficient(filler, image));
+    }
+}
+
+std::size_t InterferenceTable::indexOf(const ImageName &image)
+{
+    const auto known = std::ranges::find(m_images, image);
+    const auto index = static_cast<std::size_t>(known - m_images.begin());
+    if (known == m_images.end()) {
+        m_images.push_back(image);
+    }
+    return index;
+}
+
+WorkerInterference InterferenceTable::assess(const WorkerLink &link)
 {
     WorkerInterference worker;
     for (const auto &[ref, run] : link.runs()) {
@@ -59,7 +91,7 @@
     return worker;
 }
 
-void InterferenceTable::addServer(WorkerInterference &worker, const LiveRun &run) const
+void InterferenceTable::addServer(WorkerInterference &worker, const LiveRun &run)
 {
     const StepSpec &server = *run.step;
     const double limit = m_neighbours.limit(server);
@@ -67,7 +99,7 @@
     const double loadOverLimit = m_neighbours.expectedLoad(run.ref.task.step, server) - limit;
     const auto known = std::ranges::find(worker.servers, server.image, &WorkerInterference::Servers::image);
     if (known == worker.servers.end()) {
-        worker.servers.push_back({ server.image, 1, stressOverLimit, loadOverLimit });
+        worker.servers.push_back({ server.image, indexOf(server.image), 1, stressOverLimit, loadOverLimit });
         return;
     }
     ++known->count;
--- a/src/libjobs/interferencetable.h
+++ b/src/libjobs/interferencetable.h
@@ -15,6 +15,8 @@
     struct Servers
     {
         ImageName image;
+        /** Place of the image in the table's list of serving images. */
+        std::size_t imageIndex = 0;
         std::uint32_t count = 0;
         /** Largest difference between the present stress of a task and its limit. */
         double stressOverLimit = 0;
@@ -47,6 +49,8 @@
 
     /** The reference is valid until the next call. */
     const WorkerInterference &of(const WorkerLink &link);
+    /** NeighbourModel::coefficient() for the image of @p servers, which is of a worker of this table. */
+    double coefficient(const ImageName &filler, const WorkerInterference::Servers &servers);
     /** Discards all entries, as loads are learnt from other workers, too. */
     void clear();
     /** Stress that the fillers of a worker add to a serving task of @p image. */
@@ -61,12 +65,26 @@
         WorkerInterference interference;
     };
 
-    [[nodiscard]] WorkerInterference assess(const WorkerLink &link) const;
-    void addServer(WorkerInterference &worker, const LiveRun &run) const;
+    /** The coefficients of one filler image, by the place of the serving image. */
+    struct Coefficients
+    {
+        ImageName filler;
+        std::uint64_t revision = 0;
+        std::vector<double> values;
+    };
+
+    [[nodiscard]] WorkerInterference assess(const WorkerLink &link);
+    void addServer(WorkerInterference &worker, const LiveRun &run);
+    std::size_t indexOf(const ImageName &image);
+    void readCoefficients(const ImageName &filler);
 
     const NeighbourModel &m_neighbours;
     /** A link's revision is unique among all links, so an entry of a destroyed link is never taken for another's. */
     std::unordered_map<const WorkerLink *, Entry> m_entries;
+    /** The serving images of all entries. */
+    std::vector<ImageName> m_images;
+    /** Of the filler that was asked for last: a placement asks for one filler on all workers. */
+    Coefficients m_coefficients;
     std::uint64_t m_assessments = 0;
 };
 
--- a/src/libjobs/neighbourmodel.cpp
+++ b/src/libjobs/neighbourmodel.cpp
@@ -62,6 +62,7 @@
 {
     m_known.servers.insert(knowledge.servers.begin(), knowledge.servers.end());
     m_known.coefficients.insert(knowledge.coefficients.begin(), knowledge.coefficients.end());
+    ++m_coefficientRevision;
 }
 
 void NeighbourModel::learn(const WorkerLink &link, TimePoint now)
@@ -156,6 +157,7 @@
     load.load.mean = std::clamp(load.load.mean + loadGain * innovation, 0.0, 1.0);
     load.load.variance *= 1 - loadGain;
     updateSlope(load, now);
+    m_coefficientRevision += shares.empty() ? 0 : 1;
     for (std::size_t index = 0; index < shares.size(); ++index) {
         Estimate &estimate = estimates[index];
         const double gain = estimate.variance * shares[index].fraction / innovationVariance;
@@ -201,6 +203,11 @@
     return found == m_known.coefficients.end() ? unknownCoefficient : found->second;
 }
 
+std::uint64_t NeighbourModel::coefficientRevision() const
+{
+    return m_coefficientRevision;
+}
+
 double NeighbourModel::coefficient(const ImageName &filler, const ImageName &server) const
 {
     return coefficientEstimate(filler, server).mean;
--- a/src/libjobs/neighbourmodel.h
+++ b/src/libjobs/neighbourmodel.h
@@ -36,6 +36,8 @@
     /** Adds an earlier writer's estimates where there are none yet. */
     void adopt(const NeighbourKnowledge &knowledge);
 
+    /** Rises whenever a coefficient may have changed. */
+    [[nodiscard]] std::uint64_t coefficientRevision() const;
     /** Stress that a filler using all processors of a worker would add to a serving task. */
     [[nodiscard]] double coefficient(const ImageName &filler, const ImageName &server) const;
     /** Stress at which a task of the step reaches its tail latency target; 1 when nothing is known of its image. */
@@ -80,6 +82,7 @@
     static void updateSlope(StepLoad &load, TimePoint now);
 
     NeighbourKnowledge m_known;
+    std::uint64_t m_coefficientRevision = 0;
     std::map<StepRef, StepLoad> m_loads;
     std::map<WorkerId, std::vector<EndedFiller>> m_ended;
 };
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -48,7 +48,7 @@
     , m_knowledge(options.layout, options.token, context, m_neighbours)
     , m_interference(m_neighbours)
     , m_pacer(m_neighbours)
-    , m_placer(m_fleet, m_neighbours, m_interference, m_health)
+    , m_placer(m_fleet, m_interference, m_health)
     , m_starter({ m_log, m_context, m_fleet, m_placer, m_health, m_queues },
                 [this](const WorkerId &worker, const LiveRun &run, std::string_view reason) {
                     handleRunLoss(worker, run, reason);
--- a/src/libjobs/runmonitor.cpp
+++ b/src/libjobs/runmonitor.cpp
@@ -164,9 +164,7 @@
     if (!run.step->mayRunCopies || known == m_durations.end() || known->second.size() < minDurationSamples) {
         return false;
     }
-    std::vector<Milliseconds> durations = known->second;
-    std::ranges::sort(durations);
-    const Milliseconds median = durations[durations.size() / 2];
+    const Milliseconds median = known->second[known->second.size() / 2];
     const Milliseconds age = now - run.settledAt.value_or(now);
     const Milliseconds estimatedTotal = age * 100 / std::max(run.percent, 1U);
     // A copy helps if the remaining time exceeds the median duration of a whole run.
@@ -176,7 +174,9 @@
 void RunMonitor::recordCompletion(const LiveRun &run, TimePoint now)
 {
     if (run.settledAt && run.step->count > 1) {
-        m_durations[run.ref.task.step].push_back(now - *run.settledAt);
+        std::vector<Milliseconds> &durations = m_durations[run.ref.task.step];
+        const Milliseconds duration = now - *run.settledAt;
+        durations.insert(std::ranges::upper_bound(durations, duration), duration);
     }
 }
 
--- a/src/libjobs/runmonitor.h
+++ b/src/libjobs/runmonitor.h
@@ -64,7 +64,7 @@
     TimePoint m_noBetterSince {};
     /** Since when all serving tasks of a worker have exceeded the unsound tail latency. */
     std::map<WorkerId, TimePoint> m_slowSince;
-    /** Durations of the completed tasks of a step. */
+    /** Durations of the completed tasks of a step, in rising order. */
     std::map<StepRef, std::vector<Milliseconds>> m_durations;
 };
 
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -66,10 +66,8 @@
 
 } // namespace
 
-RunPlacer::RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours, InterferenceTable &interference,
-                     const WorkerHealth &health)
+RunPlacer::RunPlacer(WorkerFleet &fleet, InterferenceTable &interference, const WorkerHealth &health)
     : m_fleet(fleet)
-    , m_neighbours(neighbours)
     , m_interference(interference)
     , m_health(health)
 {
@@ -153,6 +151,9 @@
 {
     const WorkerId &worker = link.entry().id;
     const bool failedOnWorker = request.failedWorkers != nullptr && request.failedWorkers->contains(worker);
+    if (!m_health.hasRecord(worker)) {
+        return failedOnWorker ? failedOnWorkerCost : 0;
+    }
     if (m_health.isQuarantined(worker, now) || (m_health.isOnProbation(worker, now) && !link.runs().empty())) {
         return std::nullopt;
     }
@@ -207,7 +208,7 @@
     }
     double interference = 0;
     for (const WorkerInterference::Servers &servers : m_interference.of(link).servers) {
-        const double coefficient = m_neighbours.coefficient(request.step.image, servers.image);
+        const double coefficient = m_interference.coefficient(request.step.image, servers);
         const double added = coefficient * fractionOf(request.step.need.processors, link);
         const double excess = std::max(servers.peakOverLimit + added, 0.0);
         if (servers.stressOverLimit + added > -placementStressMargin || excess > maxPeakExcess) {
--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "interferencetable.h"
-#include "neighbourmodel.h"
 #include "workerfleet.h"
 #include "workerhealth.h"
 
@@ -47,8 +46,7 @@
 {
 public:
     /** Precondition: the arguments outlive the object. */
-    RunPlacer(WorkerFleet &fleet, const NeighbourModel &neighbours, InterferenceTable &interference,
-              const WorkerHealth &health);
+    RunPlacer(WorkerFleet &fleet, InterferenceTable &interference, const WorkerHealth &health);
 
     /** The worker with the lowest cost; null when none is eligible. */
     [[nodiscard]] WorkerLink *choose(const PlacementRequest &request, TimePoint now) const;
@@ -75,7 +73,6 @@
     [[nodiscard]] static double batchCost(const WorkerLink &link);
 
     WorkerFleet &m_fleet;
-    const NeighbourModel &m_neighbours;
     InterferenceTable &m_interference;
     const WorkerHealth &m_health;
 };
--- a/src/libjobs/workerhealth.cpp
+++ b/src/libjobs/workerhealth.cpp
@@ -69,6 +69,11 @@
     std::erase_if(m_failedOn, [&job](const auto &entry) { return entry.first.step.job == job; });
 }
 
+bool WorkerHealth::hasRecord(const WorkerId &worker) const
+{
+    return m_records.contains(worker);
+}
+
 bool WorkerHealth::isQuarantined(const WorkerId &worker, TimePoint now) const
 {
     const auto found = m_records.find(worker);
--- a/src/libjobs/workerhealth.h
+++ b/src/libjobs/workerhealth.h
@@ -30,6 +30,8 @@
     void forget(const TaskRef &task);
     void forgetJob(const JobId &job);
 
+    /** Whether there is a failure to judge the worker by; without one it is healthy. */
+    [[nodiscard]] bool hasRecord(const WorkerId &worker) const;
     [[nodiscard]] bool isQuarantined(const WorkerId &worker, TimePoint now) const;
     /** Whether the worker is limited to one task at a time, in or after a quarantine. */
     [[nodiscard]] bool isOnProbation(const WorkerId &worker, TimePoint now) const;
--- a/tests/libjobs/fleetfixture.cpp
+++ b/tests/libjobs/fleetfixture.cpp
@@ -33,7 +33,7 @@
                                                                         };
                                                                         return handlers;
                                                                     } });
-    m_placer = std::make_unique<RunPlacer>(*m_fleet, m_neighbours, m_interference, m_health);
+    m_placer = std::make_unique<RunPlacer>(*m_fleet, m_interference, m_health);
     m_fleet->start();
     deliverAnswers();
 }
--- a/tests/libjobs/testplacing.cpp
+++ b/tests/libjobs/testplacing.cpp
@@ -208,4 +208,31 @@
     }
 }
 
+/** The table keeps the coefficients of one filler; what the model learns later has to show in them. */
+BOOST_AUTO_TEST_CASE(coefficientsFollowTheModel)
+{
+    FleetFixture box(workers);
+    fillSome(box);
+    box.occupy(0, JobId("other"), servingStep("desk"));
+    const WorkerLink &link = *box.fleet().find(WorkerId("0"));
+    const auto checkAll = [&box, &link] {
+        const WorkerInterference worker = box.interference().of(link);
+        BOOST_TEST(worker.servers.size() == 2U);
+        for (const char *const filler : { "mill", "press", "mill" }) {
+            for (const WorkerInterference::Servers &servers : worker.servers) {
+                BOOST_TEST(box.interference().coefficient(ImageName(filler), servers)
+                           == box.neighbours().coefficient(ImageName(filler), servers.image));
+            }
+        }
+    };
+    checkAll();
+    NeighbourKnowledge knowledge;
+    knowledge.coefficients[{ ImageName("mill"), ImageName("desk") }] = { 0.25, 0.1 };
+    box.neighbours().adopt(knowledge);
+    BOOST_TEST(box.neighbours().coefficient(ImageName("mill"), ImageName("desk")) == 0.25);
+    checkAll();
+    box.interference().clear();
+    checkAll();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
