Learn from a report and pace its fillers with fewer look-ups by name

For each serving task of a report, the model of neighbours found its image three times and each pair of images twice in maps with texts as keys, and copied both names to write the estimate back. The pacer built two maps with the runs as keys, one of them only to compare with the paces that the runs have anyway.

The image and the estimates of the pairs are now found once and changed in place; the pacer keeps a list in the order of the runs, by which ties are decided as before.

--- a/src/libjobs/fillerpacer.cpp
+++ b/src/libjobs/fillerpacer.cpp
@@ -40,10 +40,9 @@
     Paces paces;
     for (const auto &[ref, run] : link.runs()) {
         if (run.isFiller() && run.phase == RunPhase::Running) {
-            paces[ref] = run.pace / 100.0;
+            paces.push_back({ &run, run.pace / 100.0 });
         }
     }
-    const Paces before = paces;
     double headroom = 1;
     bool mustHalt = false;
     for (const auto &[ref, run] : link.runs()) {
@@ -66,16 +65,16 @@
         }
     }
     if (mustHalt) {
-        for (auto &[ref, pace] : paces) {
-            pace = 0;
+        for (Pace &pace : paces) {
+            pace.value = 0;
         }
     } else if (headroom > stressDeadBand) {
         speedUp(link, headroom, paces);
     }
     std::vector<PaceChange> changes;
-    for (const auto &[ref, pace] : paces) {
-        if (toPercent(pace) != toPercent(before.at(ref))) {
-            changes.push_back({ ref, toPercent(pace) });
+    for (const Pace &pace : paces) {
+        if (toPercent(pace.value) != toPercent(pace.run->pace / 100.0)) {
+            changes.push_back({ pace.run->ref, toPercent(pace.value) });
         }
     }
     return changes;
@@ -85,29 +84,29 @@
 {
     // Slows the most disruptive fillers first, then all others by the same factor.
     double lightStress = 0;
-    std::vector<std::pair<double, RunRef>> heavy;
-    std::vector<RunRef> light;
-    for (const auto &[ref, pace] : paces) {
-        const StepSpec &filler = *link.runs().at(ref).step;
+    std::vector<std::pair<double, std::size_t>> heavy;
+    std::vector<std::size_t> light;
+    for (std::size_t index = 0; index < paces.size(); ++index) {
+        const StepSpec &filler = *paces[index].run->step;
         const double effect = m_model.fillerStress(filler, link, server.step->image);
         if (m_model.coefficient(filler.image, server.step->image) > heavyCoefficient) {
-            heavy.emplace_back(effect, ref);
+            heavy.emplace_back(effect, index);
         } else {
-            light.push_back(ref);
-            lightStress += effect * pace;
+            light.push_back(index);
+            lightStress += effect * paces[index].value;
         }
     }
     std::ranges::sort(heavy, std::greater<>());
-    for (const auto &[effect, ref] : heavy) {
-        const double cut = std::min(paces[ref], std::max(excess, 0.0) / effect);
-        paces[ref] -= cut;
+    for (const auto &[effect, index] : heavy) {
+        const double cut = std::min(paces[index].value, std::max(excess, 0.0) / effect);
+        paces[index].value -= cut;
         excess -= cut * effect;
     }
     if (excess <= 0 || lightStress <= 0) {
         return;
     }
-    for (const RunRef &ref : light) {
-        paces[ref] *= std::max(1 - excess / lightStress, minLightPaceFactor);
+    for (const std::size_t index : light) {
+        paces[index].value *= std::max(1 - excess / lightStress, minLightPaceFactor);
     }
 }
 
@@ -124,19 +123,20 @@
 
 void FillerPacer::speedUp(const WorkerLink &link, double headroom, Paces &paces) const
 {
-    std::vector<std::pair<double, RunRef>> effects;
-    for (const auto &[ref, pace] : paces) {
-        if (pace < 1) {
-            const LiveRun &filler = link.runs().at(ref);
+    std::vector<std::pair<double, std::size_t>> effects;
+    for (std::size_t index = 0; index < paces.size(); ++index) {
+        if (paces[index].value < 1) {
+            const LiveRun &filler = *paces[index].run;
             const double fraction = static_cast<double>(filler.step->need.processors.value())
                 / static_cast<double>(link.entry().capacity.processors.value());
-            effects.emplace_back(maxCoefficient(link, filler.step->image) * fraction, ref);
+            effects.emplace_back(maxCoefficient(link, filler.step->image) * fraction, index);
         }
     }
     std::ranges::sort(effects);
-    for (const auto &[effect, ref] : effects) {
-        const double rise = effect > 0 ? std::min(1 - paces[ref], headroom / effect) : 1 - paces[ref];
-        paces[ref] += rise;
+    for (const auto &[effect, index] : effects) {
+        double &pace = paces[index].value;
+        const double rise = effect > 0 ? std::min(1 - pace, headroom / effect) : 1 - pace;
+        pace += rise;
         headroom -= rise * effect;
         if (headroom <= 0) {
             return;
--- a/src/libjobs/fillerpacer.h
+++ b/src/libjobs/fillerpacer.h
@@ -29,7 +29,14 @@
     std::vector<PaceChange> decide(const WorkerLink &link, TimePoint now);
 
 private:
-    using Paces = std::map<RunRef, double>;
+    struct Pace
+    {
+        const LiveRun *run = nullptr;
+        /** Fraction of full speed. */
+        double value = 1;
+    };
+    /** The running fillers of a worker, in the order of its runs. */
+    using Paces = std::vector<Pace>;
 
     void slowDown(const WorkerLink &link, const LiveRun &server, double excess, Paces &paces) const;
     void speedUp(const WorkerLink &link, double headroom, Paces &paces) const;
--- a/src/libjobs/neighbourmodel.cpp
+++ b/src/libjobs/neighbourmodel.cpp
@@ -78,7 +78,7 @@
         ServerImage &image = m_known.servers[run.step->image];
         const double tail = std::max(static_cast<double>(run.gauge), minTailMs);
         image.baseTail = image.baseTail == 0 ? tail : std::min(image.baseTail, tail);
-        learnServer(run, shares, now);
+        learnServer(run, image, shares, now);
     }
 }
 
@@ -136,16 +136,18 @@
     return load;
 }
 
-void NeighbourModel::learnServer(const LiveRun &run, const std::vector<Share> &shares, TimePoint now)
+void NeighbourModel::learnServer(const LiveRun &run, ServerImage &image, const std::vector<Share> &shares,
+                                 TimePoint now)
 {
-    const double observed = *stress(run);
+    const double observed = stressOf(image, run);
     StepLoad &load = predictLoad(run, now);
     double expected = load.load.mean;
     const double error = relativeTailError * (1 - observed) + minStressError;
     double innovationVariance = load.load.variance + error * error;
-    std::vector<Estimate> estimates;
+    std::vector<Estimate *> estimates;
+    estimates.reserve(shares.size());
     for (const Share &share : shares) {
-        const Estimate &estimate = estimates.emplace_back(coefficientEstimate(share.image, run.step->image));
+        const Estimate &estimate = *estimates.emplace_back(&coefficientFor(share.image, run.step->image));
         const double effect = estimate.mean * share.fraction;
         expected += effect;
         innovationVariance +=
@@ -159,16 +161,14 @@
     updateSlope(load, now);
     m_coefficientRevision += shares.empty() ? 0 : 1;
     for (std::size_t index = 0; index < shares.size(); ++index) {
-        Estimate &estimate = estimates[index];
+        Estimate &estimate = *estimates[index];
         const double gain = estimate.variance * shares[index].fraction / innovationVariance;
         estimate.mean = std::max(estimate.mean + gain * innovation, 0.0);
         estimate.variance = std::max(estimate.variance * (1 - gain * shares[index].fraction)
                                          + coefficientDrift * shares[index].fraction,
                                      minCoefficientVariance);
-        m_known.coefficients[{ shares[index].image, run.step->image }] = estimate;
     }
     if (isClean) {
-        ServerImage &image = m_known.servers[run.step->image];
         image.peakLoad += load.load.mean > image.peakLoad ? peakStep * peakQuantile : -peakStep * (1 - peakQuantile);
     }
 }
@@ -197,6 +197,16 @@
     std::erase_if(m_loads, [now](const auto &entry) { return now - entry.second.at > loadExpiry; });
 }
 
+/** The estimate of a pair, which is added when there is none yet. */
+Estimate &NeighbourModel::coefficientFor(const ImageName &filler, const ImageName &server)
+{
+    const auto found = m_known.coefficients.find(NeighbourKnowledge::PairView(filler, server));
+    if (found != m_known.coefficients.end()) {
+        return found->second;
+    }
+    return m_known.coefficients.emplace(NeighbourKnowledge::Pair(filler, server), unknownCoefficient).first->second;
+}
+
 Estimate NeighbourModel::coefficientEstimate(const ImageName &filler, const ImageName &server) const
 {
     const auto found = m_known.coefficients.find(NeighbourKnowledge::PairView(filler, server));
@@ -246,13 +256,19 @@
     return added;
 }
 
+/** Precondition: the image has a base, and the run a tail. */
+double NeighbourModel::stressOf(const ServerImage &image, const LiveRun &run)
+{
+    return std::max(1 - image.baseTail / static_cast<double>(run.gauge), 0.0);
+}
+
 std::optional<double> NeighbourModel::stress(const LiveRun &run) const
 {
     const auto found = m_known.servers.find(run.step->image);
     if (found == m_known.servers.end() || found->second.baseTail == 0 || run.gauge <= 0) {
         return std::nullopt;
     }
-    return std::max(1 - found->second.baseTail / static_cast<double>(run.gauge), 0.0);
+    return stressOf(found->second, run);
 }
 
 } // namespace currantring
--- a/src/libjobs/neighbourmodel.h
+++ b/src/libjobs/neighbourmodel.h
@@ -76,7 +76,9 @@
     };
 
     [[nodiscard]] std::vector<Share> fillerShares(const WorkerLink &link, TimePoint now);
-    void learnServer(const LiveRun &run, const std::vector<Share> &shares, TimePoint now);
+    void learnServer(const LiveRun &run, ServerImage &image, const std::vector<Share> &shares, TimePoint now);
+    [[nodiscard]] static double stressOf(const ServerImage &image, const LiveRun &run);
+    Estimate &coefficientFor(const ImageName &filler, const ImageName &server);
     [[nodiscard]] Estimate coefficientEstimate(const ImageName &filler, const ImageName &server) const;
     StepLoad &predictLoad(const LiveRun &run, TimePoint now);
     static void updateSlope(StepLoad &load, TimePoint now);
