--- a/tests/libjobs/testplacing.cpp
+++ b/tests/libjobs/testplacing.cpp
@@ -196,15 +196,39 @@
 BOOST_AUTO_TEST_CASE(interferenceOfAWorkerMatchesTheModel)
 {
     FleetFixture box(workers);
+    NeighbourKnowledge knowledge;
+    knowledge.servers = { { ImageName("shop"), { 8, 0.3 } }, { ImageName("desk"), { 12, 0.5 } } };
+    knowledge.coefficients = { { { ImageName("press"), ImageName("desk") }, { 0.4, 0.1 } } };
+    box.neighbours().adopt(knowledge);
     fillSome(box);
-    box.occupy(0, JobId("other"), servingStep("desk"));
-    const WorkerLink &link = *box.fleet().find(WorkerId("0"));
+    const auto tolerance = boost::test_tools::tolerance(1e-9);
+    WorkerLink &link = *box.fleet().find(WorkerId("0"));
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        LiveRun run;
+        run.ref = { { { JobId("reported"), 0, 0 }, index }, RunNumber(1) };
+        run.step = std::make_shared<const StepSpec>(servingStep("desk"));
+        run.gauge = 20 + 10 * index;
+        link.reserve(std::move(run));
+    }
     const WorkerInterference worker = box.interference().of(link);
     BOOST_TEST(worker.servers.size() == 2U);
     for (const WorkerInterference::Servers &servers : worker.servers) {
-        BOOST_TEST(box.interference().addedStress(worker, servers.image)
-                       == box.neighbours().addedStress(link, servers.image),
-                   boost::test_tools::tolerance(1e-9));
+        const double added = box.neighbours().addedStress(link, servers.image);
+        BOOST_TEST(box.interference().addedStress(worker, servers.image) == added, tolerance);
+        std::uint32_t count = 0;
+        double stress = -1;
+        double peak = -1;
+        for (const auto &[ref, run] : link.runs()) {
+            if (run.isServing() && run.step->image == servers.image) {
+                const double limit = box.neighbours().limit(*run.step);
+                ++count;
+                stress = std::max(stress, box.neighbours().stress(run).value_or(0) - limit);
+                peak = std::max(peak, box.neighbours().expectedLoad(ref.task.step, *run.step) + added - limit);
+            }
+        }
+        BOOST_TEST(servers.count == count);
+        BOOST_TEST(servers.stressOverLimit == stress, tolerance);
+        BOOST_TEST(servers.peakOverLimit == peak, tolerance);
     }
 }
 
