Treat a silent worker's runs as lost when its lease ends

Callers saw lasting tasks that didn't run although there was room (LOST). Hypotheses before the change: (a) moved runs are not placed again, (c) an end or a lease that is noticed late, (e) runs inherited at a takeover.

A timer now looks at the expiry when it is due. As this leaves no slack, the bound for inherited leases counts the longest lease on a clock that may be 2 % slow, as all other bounds do.

--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -1,6 +1,7 @@
 #include "jobnode.h"
 
 #include "jobevents.h"
+#include "workerlease.h"
 
 #include <algorithm>
 #include <utility>
@@ -237,7 +238,8 @@
     options.token = token;
     options.timing = m_options.timing;
     options.confirmationTerm = confirmationTerm;
-    options.inheritedUntil = m_context.now() + confirmationTerm + m_options.timing.longestLease;
+    options.inheritedUntil =
+        m_context.now() + confirmationTerm + WorkerLease::onSlowClock(m_options.timing.longestLease);
     m_writer = std::make_unique<JobWriter>(
         m_layout, options, m_options.nonce, m_formats, m_context,
         JobWriter::Handlers { [this] { return m_configuration; },
--- a/src/libjobs/workerlease.cpp
+++ b/src/libjobs/workerlease.cpp
@@ -10,13 +10,13 @@
 constexpr double maxClockSlowness = 0.02;
 constexpr Milliseconds leaseMargin { 50 };
 
-Milliseconds onSlowClock(Milliseconds duration)
+} // namespace
+
+Milliseconds WorkerLease::onSlowClock(Milliseconds duration)
 {
     return Milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) / (1 - maxClockSlowness)));
 }
 
-} // namespace
-
 WorkerLease::WorkerLease(Milliseconds longestLease, TimePoint inheritedUntil)
     : m_longestLease(longestLease)
     , m_inheritedUntil(inheritedUntil)
--- a/src/libjobs/workerlease.h
+++ b/src/libjobs/workerlease.h
@@ -18,6 +18,9 @@
     /** @p inheritedUntil: latest expiry of a lease that a previous writer may have granted. */
     WorkerLease(Milliseconds longestLease, TimePoint inheritedUntil);
 
+    /** Longest time, on the writer's clock, that a worker's clock may take for @p duration. */
+    [[nodiscard]] static Milliseconds onSlowClock(Milliseconds duration);
+
     /** Records that an answer received at @p now carried the worker clock @p clock. */
     void noteClock(WorkerTime clock, TimePoint now);
     [[nodiscard]] bool hasClockSample() const;
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -450,6 +450,7 @@
         return;
     }
     if (m_context.now() < m_lease.expiryTime()) {
+        scheduleLeaseExpiry();
         return;
     }
     std::vector<RunRef> lost;
@@ -463,6 +464,17 @@
     }
 }
 
+/** The expiry doesn't wait for the next failed poll, as nothing of the worker runs elsewhere until then. */
+void WorkerLink::scheduleLeaseExpiry()
+{
+    if (!m_expiryTimer) {
+        m_expiryTimer = m_context.schedule(m_lease.expiryTime() - m_context.now(), m_lifetime.guard([this] {
+            m_expiryTimer.reset();
+            checkLeaseExpiry();
+        }));
+    }
+}
+
 void WorkerLink::setReachable(bool isReachable, std::string_view reason)
 {
     if (isReachable == m_isReachable) {
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -124,6 +124,7 @@
     void schedulePoll();
     void handlePollFailure(WorkerFailure failure);
     void checkLeaseExpiry();
+    void scheduleLeaseExpiry();
     void handleStart(const RunRef &run, const WorkerResult &result);
     void sendStop(const RunRef &run);
     void handleStop(const RunRef &run, const WorkerResult &result);
@@ -156,6 +157,8 @@
     /** Incremented with each poll; answers to earlier polls are discarded. */
     std::uint64_t m_round = 0;
     std::optional<TimerId> m_pollTimer;
+    /** Set while the runs of an unreachable worker wait for the expiry of its lease. */
+    std::optional<TimerId> m_expiryTimer;
     std::uint32_t m_failedPolls = 0;
     std::map<RunRef, LiveRun> m_runs;
     ReservedResources m_reserved;
--- a/tests/libjobs/invariantchecker.h
+++ b/tests/libjobs/invariantchecker.h
@@ -30,6 +30,12 @@
         Milliseconds countedAge { 5000 };
         /** A count may be this old. */
         Milliseconds countAge { 2000 };
+        /** Time after its last run, or its job's acceptance, from which a lasting task has to run. */
+        Milliseconds restartDelay { 6000 };
+        /** Time for which a lasting task may then not run although there is room for it. */
+        Milliseconds idleTime { 3000 };
+        /** Time without a disturbance from which lasting tasks are checked. */
+        Milliseconds calmTime { 4000 };
     };
 
     void noteConfiguration(const SiteConfiguration &configuration);
@@ -43,6 +49,17 @@
     void noteSubmission(const std::shared_ptr<const JobSpec> &spec);
     void noteCancelSent(const JobId &job, TimePoint at);
     void noteAnswer(const CallerCall &call, const CallAnswer &answer, TimePoint sentAt, TimePoint at);
+    /** Faults are injected or act between these times. */
+    void noteDisturbance(TimePoint from, TimePoint until);
+    /**
+     * Records a violation for each lasting task of an accepted job without a cancellation that hasn't run for too long
+     * in calm time, while one of @p sound had room for it twice over. Call it at short intervals.
+     */
+    void checkLasting(TimePoint now, const std::vector<WorkerId> &sound);
+    /** Time from which all lasting tasks have been checked after the last disturbance, if checkLasting() was called. */
+    [[nodiscard]] TimePoint lastingCheckedAt() const;
+    /** Whether there is a lasting task that has to run. */
+    [[nodiscard]] bool hasLastingTasks() const;
     /**
      * Records a violation for each accepted job without a cancellation that isn't shown in its expected final phase,
      * and for each refused job of which a task started. Jobs with lasting steps are skipped.
@@ -68,6 +85,10 @@
         std::map<RunRef, bool> doneRuns;
         std::optional<TimePoint> doneAcknowledgedAt;
         std::map<RunRef, WorkerId> running;
+        TimePoint lastEndAt {};
+        /** Since when the task has been a lasting one that doesn't run although there is room, in calm time. */
+        std::optional<TimePoint> idleSince;
+        bool wasIdleTooLong = false;
     };
     struct JobRecord
     {
@@ -84,11 +105,20 @@
     void checkStart(const WorkerRunEvent &fact);
     void checkPlacement(const WorkerRunEvent &fact, const StepSpec &step, const JobSpec &job);
     void checkCapacity(const WorkerRunEvent &fact);
+    /** The resources that the runs on a worker use; fillers use no processors of their own. */
+    [[nodiscard]] Resources usedOn(const WorkerId &worker) const;
+    [[nodiscard]] std::uint32_t runsOfStep(const StepRef &step, const WorkerId &worker) const;
     void checkDependencies(const WorkerRunEvent &fact, const StepSpec &step);
     void checkSchedule(const WorkerRunEvent &fact, const JobSpec &spec);
     void checkCompleted(const JobSpec &spec, TimePoint at);
     /** Compares a count of waiting jobs with the jobs of which no task has started on a worker. */
     void checkCount(const QueueName &queue, std::uint64_t waiting, TimePoint sentAt, TimePoint at);
+    void checkLastingTask(const TaskRef &ref, const JobRecord &job, bool isCalm, TimePoint now,
+                          const std::vector<WorkerId> &sound);
+    [[nodiscard]] bool isOpen(const StepRef &step, const StepSpec &spec);
+    [[nodiscard]] bool hasRoomTwice(const StepRef &step, const JobSpec &job, const std::vector<WorkerId> &sound) const;
+    [[nodiscard]] bool isCalm(TimePoint now) const;
+    [[nodiscard]] static bool mustLast(const JobRecord &job);
     [[nodiscard]] std::uint32_t failuresOf(const TaskRef &task, const StepSpec &step);
     void recordViolation(const std::string &rule, TimePoint at, const std::string &what);
     [[nodiscard]] std::uint32_t attemptLimit(const JobSpec &spec) const;
@@ -101,6 +131,7 @@
     std::size_t m_starts = 0;
     std::size_t m_membersLeftAlone = 0;
     WallTime m_wallStart;
+    std::vector<std::pair<TimePoint, TimePoint>> m_disturbances;
     std::vector<std::string> m_violations;
 };
 
--- a/tests/libjobs/virtualclients.h
+++ b/tests/libjobs/virtualclients.h
@@ -23,8 +23,8 @@
     /** Cancels a job after @p delay, and repeats the call until it is accepted or the retry timeout is over. */
     void cancel(const JobId &job, Milliseconds delay);
     /**
-     * Runs until all accepted jobs have ended, apart from lasting ones, or @p limit has passed; then checks all of
-     * them with InvariantChecker.
+     * Runs until all accepted jobs have ended, apart from lasting ones, and these have been checked after the last
+     * disturbance, or @p limit has passed; then checks all of them with InvariantChecker.
      */
     void finish(Milliseconds limit);
     /** Submits a random mix of batch, urgent, lasting, filler, failing and cancelled jobs over @p duration. */
@@ -37,6 +37,7 @@
     void tryCancel(const JobId &job, TimePoint until);
     void pollPhase(const JobId &job);
     void pollCounts();
+    void checkLasting();
     [[nodiscard]] HostId randomHost();
     [[nodiscard]] bool isFinished(const JobId &job) const;
 
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -314,6 +314,20 @@
     return ids;
 }
 
+std::vector<WorkerId> VirtualSite::soundWorkers() const
+{
+    std::vector<WorkerId> ids;
+    for (const auto &node : m_workers) {
+        const WorkerId &id = node->worker->entry().id;
+        const bool isCut = std::ranges::any_of(m_workerCuts, [&id](const auto &cut) { return cut.second == id; });
+        if (!node->isDown && !isCut && node->worker->isSound()
+            && node->worker->entry().standing == WorkerStanding::Ready) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 bool VirtualSite::isAlive(const HostId &host) const
 {
     return find(host).isAlive;
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -114,6 +114,8 @@
     InvariantChecker &judge();
     [[nodiscard]] std::vector<HostId> hosts() const;
     [[nodiscard]] std::vector<WorkerId> workers() const;
+    /** Workers that are up, in service, reachable from all hosts, and neither failing nor hanging. */
+    [[nodiscard]] std::vector<WorkerId> soundWorkers() const;
     [[nodiscard]] bool isAlive(const HostId &host) const;
     [[nodiscard]] bool isReady(const HostId &host) const;
     /** Whether the host believes itself to be the writer. */
--- a/tests/libjobs/virtualworker.cpp
+++ b/tests/libjobs/virtualworker.cpp
@@ -340,6 +340,11 @@
     m_entry.standing = standing;
 }
 
+bool VirtualWorker::isSound() const
+{
+    return !m_isFailing && !m_isHanging;
+}
+
 std::size_t VirtualWorker::runningCount() const
 {
     return m_runs.size();
--- a/tests/libjobs/virtualworker.h
+++ b/tests/libjobs/virtualworker.h
@@ -90,6 +90,8 @@
 
     [[nodiscard]] const WorkerEntry &entry() const;
     void setStanding(WorkerStanding standing);
+    /** Whether tasks neither fail nor hang because of the worker. */
+    [[nodiscard]] bool isSound() const;
     [[nodiscard]] std::size_t runningCount() const;
     [[nodiscard]] bool runs(const TaskRef &task) const;
 
