Open long quarantines to lasting tasks without other room

Its run was stopped amid srv_grey (13.5 to 20.5 s), and the service was full. Hypotheses: the placer refuses the room that is there (quarantine, probation); other steps are always ahead; the cache of requests without room excludes too much.

Long quarantines spare the limited attempts of tasks. Lasting tasks have no limit, and have to run wherever there is room, so for them a quarantine ends 2 s after the last failure, the probation 3 s later, and such a worker is chosen only if no other has room. Moves still don't go to a worker in quarantine. A request without room no longer excludes lasting tasks, which more workers are open to.

--- a/src/libjobs/noroomcache.h
+++ b/src/libjobs/noroomcache.h
@@ -26,6 +26,7 @@
     {
         ServiceName service;
         bool isFiller = false;
+        bool isLasting = false;
         ImageName image;
         Resources need;
     };
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -8,6 +8,8 @@
 
 /** High enough that a worker where the task failed before is chosen only if no other is eligible. */
 constexpr double failedOnWorkerCost = 1000;
+/** High enough that a worker closed to other tasks gets a lasting one only if no other worker has room. */
+constexpr double quarantinedCost = 10'000;
 constexpr double suspicionWeight = 1;
 /** A task on its last attempt isn't placed on a worker with a higher suspicion. */
 constexpr double maxLastAttemptSuspicion = 0.5;
@@ -146,21 +148,36 @@
                          TimePoint now) const
 {
     const WorkerLink *const other = choose(request, now);
-    return other != nullptr && other != &present && loadCost(*other, request).value_or(maxCost) < maxCost;
+    return other != nullptr && other != &present && !isClosedByHealth(*other, now)
+        && loadCost(*other, request).value_or(maxCost) < maxCost;
+}
+
+bool RunPlacer::isClosedByHealth(const WorkerLink &link, TimePoint now) const
+{
+    const WorkerId &worker = link.entry().id;
+    return m_health.isQuarantined(worker, now) || (m_health.isOnProbation(worker, now) && !link.runs().empty());
+}
+
+bool RunPlacer::isClosedToLasting(const WorkerLink &link, TimePoint now) const
+{
+    const WorkerId &worker = link.entry().id;
+    return m_health.isQuarantinedForLasting(worker, now)
+        || (m_health.isOnProbationForLasting(worker, now) && !link.runs().empty());
 }
 
 std::optional<double> RunPlacer::riskCost(const WorkerLink &link, const PlacementRequest &request, TimePoint now) const
 {
     const WorkerId &worker = link.entry().id;
     const bool failedOnWorker = request.failedWorkers != nullptr && request.failedWorkers->contains(worker);
-    if (m_health.isQuarantined(worker, now) || (m_health.isOnProbation(worker, now) && !link.runs().empty())) {
+    const bool isClosed = isClosedByHealth(link, now);
+    if (isClosed && (!request.step.isLasting || isClosedToLasting(link, now))) {
         return std::nullopt;
     }
     const double suspicion = m_health.failureScore(worker, now);
     if (request.isLastAttempt && suspicion > maxLastAttemptSuspicion) {
         return std::nullopt;
     }
-    return (failedOnWorker ? failedOnWorkerCost : 0) + suspicion * suspicionWeight;
+    return (failedOnWorker ? failedOnWorkerCost : 0) + (isClosed ? quarantinedCost : 0) + suspicion * suspicionWeight;
 }
 
 bool RunPlacer::isEligible(const WorkerLink &link, const PlacementRequest &request) const
--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -57,7 +57,7 @@
                                                    TimePoint now) const;
     /** The racks with workers for @p service, in order of falling free processors. */
     [[nodiscard]] std::vector<Label> racks(const ServiceName &service) const;
-    /** Whether the best worker isn't @p present and has a load cost below @p maxCost. */
+    /** Whether the best worker isn't @p present, isn't closed by its health and has a load cost below @p maxCost. */
     [[nodiscard]] bool hasOther(const PlacementRequest &request, const WorkerLink &present, double maxCost,
                                 TimePoint now) const;
     /** Sum of risk, load and rack cost; nullopt when the worker isn't eligible. */
@@ -66,6 +66,9 @@
 
 private:
     [[nodiscard]] bool isEligible(const WorkerLink &link, const PlacementRequest &request) const;
+    /** Whether tasks that don't last are kept off the worker because of its health. */
+    [[nodiscard]] bool isClosedByHealth(const WorkerLink &link, TimePoint now) const;
+    [[nodiscard]] bool isClosedToLasting(const WorkerLink &link, TimePoint now) const;
     /** Nullopt when the worker's health excludes it for the task. */
     [[nodiscard]] std::optional<double> riskCost(const WorkerLink &link, const PlacementRequest &request,
                                                  TimePoint now) const;
--- a/src/libjobs/workerhealth.cpp
+++ b/src/libjobs/workerhealth.cpp
@@ -82,6 +82,24 @@
         && now < found->second.quarantinedUntil + probationTime;
 }
 
+TimePoint WorkerHealth::Record::quarantinedForLastingUntil() const
+{
+    return std::min(quarantinedUntil, lastFailure + firstQuarantine);
+}
+
+bool WorkerHealth::isQuarantinedForLasting(const WorkerId &worker, TimePoint now) const
+{
+    const auto found = m_records.find(worker);
+    return found != m_records.end() && now < found->second.quarantinedForLastingUntil();
+}
+
+bool WorkerHealth::isOnProbationForLasting(const WorkerId &worker, TimePoint now) const
+{
+    const auto found = m_records.find(worker);
+    return found != m_records.end() && found->second.quarantines > 0
+        && now < found->second.quarantinedForLastingUntil() + probationTime;
+}
+
 double WorkerHealth::failureScore(const WorkerId &worker, TimePoint now) const
 {
     const auto found = m_records.find(worker);
--- a/src/libjobs/workerhealth.h
+++ b/src/libjobs/workerhealth.h
@@ -13,7 +13,9 @@
  *
  * Each failure raises the worker's failure score, by less when the task has failed on other workers too; a successful
  * run resets it. A worker with too many consecutive failures is quarantined. After that it gets one task at a time
- * until a run succeeds or the probation period ends. Thread safety: one thread at a time.
+ * until a run succeeds or the probation period ends. Each further quarantine is longer, which spares the limited
+ * attempts of other tasks; lasting tasks have no such limit and must run wherever there is room, so for them each
+ * quarantine is as short as the first one. Thread safety: one thread at a time.
  */
 class WorkerHealth
 {
@@ -33,6 +35,9 @@
     [[nodiscard]] bool isQuarantined(const WorkerId &worker, TimePoint now) const;
     /** Whether the worker is limited to one task at a time, in or after a quarantine. */
     [[nodiscard]] bool isOnProbation(const WorkerId &worker, TimePoint now) const;
+    /** The same for lasting tasks. */
+    [[nodiscard]] bool isQuarantinedForLasting(const WorkerId &worker, TimePoint now) const;
+    [[nodiscard]] bool isOnProbationForLasting(const WorkerId &worker, TimePoint now) const;
     /** Weighted count of consecutive failures with exponential decay; 0 for a healthy worker. */
     [[nodiscard]] double failureScore(const WorkerId &worker, TimePoint now) const;
 
@@ -43,6 +48,9 @@
         TimePoint lastFailure {};
         std::uint32_t quarantines = 0;
         TimePoint quarantinedUntil {};
+
+        /** End of the quarantine for lasting tasks. */
+        [[nodiscard]] TimePoint quarantinedForLastingUntil() const;
     };
 
     std::map<WorkerId, Record> m_records;
--- a/tests/libjobs/testplacing.cpp
+++ b/tests/libjobs/testplacing.cpp
@@ -176,6 +176,49 @@
     BOOST_TEST(cache.isKnownNotToFit(requestFor(plainStep(9000))));
 }
 
+BOOST_AUTO_TEST_CASE(requestsWithoutRoomDoNotExcludeLastingTasksThatMoreWorkersAreOpenTo)
+{
+    StepSpec lasting = plainStep(4000);
+    lasting.isLasting = true;
+    NoRoomCache cache;
+    cache.recordNoRoom(requestFor(plainStep(4000)));
+    BOOST_TEST(!cache.isKnownNotToFit(requestFor(lasting)));
+    cache.recordNoRoom(requestFor(lasting));
+    BOOST_TEST(cache.isKnownNotToFit(requestFor(lasting)));
+    BOOST_TEST(cache.isKnownNotToFit(requestFor(plainStep(4000))));
+}
+
+/** A lasting task waited out the quarantine of the only worker with room, long after that worked again. */
+BOOST_AUTO_TEST_CASE(longQuarantineIsShorterForLastingTasksWithoutOtherRoom)
+{
+    FleetFixture box(2);
+    const WorkerId worker = box.fleet().links().begin()->first;
+    const TaskRef task { { JobId("job"), 0, 0 }, 0 };
+    TimePoint last = box.now();
+    box.health().noteFailure(worker, task, last);
+    while (!box.health().isQuarantined(worker, last + Milliseconds(3000))) {
+        last += Milliseconds(10);
+        if (!box.health().isQuarantined(worker, last)) {
+            box.health().noteFailure(worker, task, last);
+        }
+    }
+    const TimePoint soon = last + Milliseconds(1000);
+    const TimePoint later = last + Milliseconds(2500);
+    StepSpec lasting = plainStep(6000);
+    lasting.isLasting = true;
+    BOOST_TEST_REQUIRE(box.health().isQuarantined(worker, later));
+    BOOST_TEST(box.placer().choose(requestFor(lasting), later)->entry().id != worker);
+    const WorkerLink &other = *std::next(box.fleet().links().begin())->second;
+    for (int run = 0; box.placer().totalCost(other, requestFor(lasting), later); ++run) {
+        box.occupy(1, JobId(std::to_string(run)), lasting);
+    }
+    BOOST_TEST(box.placer().choose(requestFor(lasting), soon) == nullptr);
+    BOOST_TEST_REQUIRE(box.placer().choose(requestFor(lasting), later) != nullptr);
+    BOOST_TEST(box.placer().choose(requestFor(lasting), later)->entry().id == worker);
+    BOOST_TEST(box.placer().choose(requestFor(plainStep(6000)), later) == nullptr);
+    BOOST_TEST(!box.placer().hasOther(requestFor(lasting), other, 1000, later));
+}
+
 /** The writer of a large site had no time left for short jobs, as each placement assessed the runs of all workers. */
 BOOST_AUTO_TEST_CASE(workerIsAssessedAgainOnlyAfterItsRunsChanged)
 {
--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -1,4 +1,5 @@
 #include "jobevents.h"
+#include "virtualclients.h"
 #include "virtualjobs.h"
 #include "virtualsite.h"
 
@@ -272,4 +273,38 @@
     BOOST_TEST(site.logCount(events::runMoved) == 1U);
 }
 
+/** Other rooms are taken, so the task can only run on the worker that failed all of its runs for a while. */
+BOOST_AUTO_TEST_CASE(longRunningTaskReturnsToTheOnlyRoomAfterItsWorkerFailedForLong)
+{
+    VirtualSiteOptions options;
+    options.workers = 2;
+    VirtualSite site(options);
+    VirtualClients customers(site, 1);
+    site.run(startTime);
+    JobSpec large = lastingJob(1, 1);
+    large.steps.front().need.processors = Millicores(7000);
+    customers.submit(large, Milliseconds(0));
+    site.run(Milliseconds(500));
+    JobSpec small = lastingJob(2, 1);
+    small.steps.front().need.processors = Millicores(3000);
+    customers.submit(small, Milliseconds(0));
+    site.run(Milliseconds(1000));
+    const bool isLargeOnFirst = site.worker(WorkerId("w0")).runs({ { large.id, 0, 0 }, 0 });
+    const WorkerId failing(isLargeOnFirst ? "w1" : "w0");
+    const TaskRef task { { small.id, 0, 0 }, 0 };
+    BOOST_TEST(site.worker(failing).runs(task));
+    const TimePoint failingSince = site.now();
+    site.worker(failing).setFailing(true);
+    site.crashWorker(failing, false);
+    site.restartWorker(failing);
+    constexpr Milliseconds failingTime { 17'500 };
+    site.judge().noteDisturbance(failingSince, failingSince + failingTime);
+    site.run(failingTime);
+    BOOST_TEST(site.judge().startsOf(task) < 30U);
+    site.worker(failing).setFailing(false);
+    customers.finish(Milliseconds(40'000));
+    BOOST_TEST(site.worker(failing).runs(task));
+    requireNoViolations(site);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
