Show that one takeover has many claims while watches report nothing

A conflict, a probe or a read of the claim gives the new claim only; the liveness entry that was written with it comes by the watch. Until then the host has the former writer's state, entry absent, and no heartbeat of the new one, so that it claims at once.

The test holds the watches back once the former writer's lease is over.

--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -1,4 +1,5 @@
 #include "jobevents.h"
+#include "storelayout.h"
 #include "virtualjobs.h"
 #include "virtualsite.h"
 
@@ -172,6 +173,35 @@
     }
 }
 
+/** A host that learnt of a claim without its liveness entry took the shard from the new writer, one after the other. */
+BOOST_AUTO_TEST_CASE(oneTakeoverHasOneClaimWhileWatchesReportNothing)
+{
+    constexpr std::uint64_t seeds = 30;
+    constexpr Milliseconds silence { 1500 };
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VirtualSiteOptions options;
+        options.seed = seed;
+        options.hosts = 9;
+        VirtualSite site(options);
+        site.run(startTime);
+        const std::size_t before = site.logCount(events::shardClaimed);
+        const std::optional<HostId> first = site.writer();
+        BOOST_REQUIRE(first.has_value());
+        site.setStoreFault(*first, StoreFault::Silent);
+        site.send(*first, SubmitJob { std::make_shared<const JobSpec>(batchJob(seed)) });
+        const std::string alive = StoreLayout { ShardId(0) }.aliveKey();
+        BOOST_TEST(site.runUntil([&site, &alive] { return !site.store().read(alive); }, Milliseconds(3000)));
+        // The hosts hear that the writer's lease is over, and nothing after that.
+        site.run(Milliseconds(10));
+        site.store().holdWatches(true);
+        site.run(silence);
+        site.store().holdWatches(false);
+        site.run(Milliseconds(3000));
+        BOOST_TEST(site.logCount(events::shardClaimed) == before + 1,
+                   "seed " << seed << " claims " << site.logCount(events::shardClaimed) - before);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(writerIsReplacedWhenOnlyItLosesTheStore)
 {
     VirtualSite site({});
--- a/tests/libjobs/virtualstore.cpp
+++ b/tests/libjobs/virtualstore.cpp
@@ -72,6 +72,9 @@
 
 bool VirtualStore::hasChanges(const KvWatch &watch) const
 {
+    if (m_areWatchesHeld) {
+        return false;
+    }
     return watch.after < m_compacted || std::ranges::any_of(m_history, [&watch](const KvEntry &change) {
                return change.revision > watch.after && change.key.starts_with(watch.prefix);
            });
@@ -79,6 +82,11 @@
 
 KvResult VirtualStore::watch(const KvWatch &request) const
 {
+    if (m_areWatchesHeld) {
+        KvReply unchanged;
+        unchanged.revision = request.after;
+        return unchanged;
+    }
     if (request.after < m_compacted) {
         return tl::unexpected(KvError { KvErrorKind::HistoryGone, {} });
     }
@@ -214,6 +222,14 @@
     m_compacted = m_revision;
 }
 
+void VirtualStore::holdWatches(bool isHeld)
+{
+    m_areWatchesHeld = isHeld;
+    if (!isHeld) {
+        compact();
+    }
+}
+
 void VirtualStore::revokeLeases()
 {
     while (!m_leases.empty()) {
--- a/tests/libjobs/virtualstore.h
+++ b/tests/libjobs/virtualstore.h
@@ -37,6 +37,8 @@
 
     /** Compacts the history up to the present revision; watches from earlier revisions fail with HistoryGone. */
     void compact();
+    /** While they are held, watches report no changes; then the history is dropped, so that they are cut. */
+    void holdWatches(bool isHeld);
     /** Ends all leases and deletes their entries. */
     void revokeLeases();
     /** Suspends or resumes the expiry of leases; in either case each lease lasts at least its term from @p now on. */
@@ -74,6 +76,7 @@
     StoreRevision m_compacted { 0 };
     LeaseId m_lastLease { 7000 };
     bool m_isLeaseExpirySuspended = false;
+    bool m_areWatchesHeld = false;
     std::size_t m_commits = 0;
 };
 
