Show that a writer that works again is replaced as stuck

The writer edge-gabrovo-1 had been without the store and accepted jobs again at 44:19.430; edge-pleven-7 (0.12 of a core, 10 Mbit/s) logs claim_tried reason=writer-stuck at 44:20.048 and becomes the writer. It needs until 44:28.365 to read the log (log_loaded slots=256 jobs=659), and nothing is placed until then.

Cause: one heartbeat that says stuck, with one read of the store that is answered, sets m_readableSince; only the next heartbeat resets it, and nothing asks again. If that one is late, the writer counts as stuck 600 ms later. Why it was late at edge-pleven-7 isn't in the logs; configuration_in_force version=69 source=edge-gabrovo-1 (2,024 queues) came over the same link in between.

The test ends an outage of the store on all hosts and then loses 850 ms of heartbeats to one host.

--- a/tests/libjobs/testsite.cpp
+++ b/tests/libjobs/testsite.cpp
@@ -202,6 +202,36 @@
     }
 }
 
+/** One heartbeat that said so was enough to replace a writer that worked again, when its next ones were late. */
+BOOST_AUTO_TEST_CASE(writerThatWorksAgainIsNotTakenForStuck)
+{
+    constexpr Milliseconds lateness { 850 };
+    for (Milliseconds cutAfter(0); cutAfter <= Milliseconds(1000); cutAfter += Milliseconds(50)) {
+        VirtualSite site({});
+        site.run(startTime);
+        const HostId writer = site.writer().value_or(site.hosts().front());
+        for (const HostId &host : site.hosts()) {
+            site.setStoreFault(host, StoreFault::Silent);
+        }
+        site.send(site.hosts().front(), SubmitJob { std::make_shared<const JobSpec>(batchJob(1)) });
+        site.run(Milliseconds(4000));
+        for (const HostId &host : site.hosts()) {
+            site.setStoreFault(host, StoreFault::None);
+        }
+        site.record(true);
+        site.run(cutAfter);
+        const HostId other = site.hosts().back() == writer ? site.hosts().front() : site.hosts().back();
+        site.partitionHosts(writer, other, true);
+        site.run(lateness);
+        site.partitionHosts(writer, other, false);
+        site.run(Milliseconds(2500));
+        const bool isTakenForStuck = std::ranges::any_of(site.transcript(), [](const std::string &line) {
+            return line.find("event=claim_tried reason=writer-stuck") != std::string::npos;
+        });
+        BOOST_TEST(!isTakenForStuck, "cut after " << cutAfter.count() << " ms");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(writerIsReplacedWhenOnlyItLosesTheStore)
 {
     VirtualSite site({});
