--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -187,8 +187,9 @@
     }
     const bool hasRecentHeartbeat = m_lastHeartbeatAt && m_context.now() - *m_lastHeartbeatAt < heartbeatTimeout;
     if (hasRecentHeartbeat) {
-        // After a store outage that affected all hosts, the writer recovers by itself; wait before replacing it.
-        const bool isStuck = m_readableSince && m_context.now() - *m_readableSince >= stuckTimeout;
+        // After a store outage that affected all hosts, the writer recovers by itself; wait before replacing it. A
+        // later heartbeat must say again that it is stuck: it may work again, and that heartbeat be late.
+        const bool isStuck = m_readableSince && *m_lastHeartbeatAt - *m_readableSince >= stuckTimeout;
         return isStuck ? "writer-stuck" : "";
     }
     if (!m_alive) {
--- a/tests/libjobs/testtakeover.cpp
+++ b/tests/libjobs/testtakeover.cpp
@@ -1,4 +1,5 @@
 #include "jobevents.h"
+#include "storelayout.h"
 #include "virtualjobs.h"
 #include "virtualsite.h"
 
@@ -315,4 +316,63 @@
     }
 }
 
+/** A host that learnt of a claim without its liveness entry took the shard from the new writer, one after the other. */
+BOOST_AUTO_TEST_CASE(oneTakeoverHasOneClaimWhileWatchesReportNothing)
+{
+    constexpr std::uint64_t seeds = 30;
+    constexpr Milliseconds silence { 1500 };
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VirtualSiteOptions options;
+        options.seed = seed;
+        options.hosts = 9;
+        VirtualSite site(options);
+        site.run(startTime);
+        const std::size_t before = site.logCount(events::shardClaimed);
+        const std::optional<HostId> first = site.writer();
+        BOOST_REQUIRE(first.has_value());
+        site.setStoreFault(*first, StoreFault::Silent);
+        site.send(*first, SubmitJob { std::make_shared<const JobSpec>(batchJob(seed)) });
+        const std::string alive = StoreLayout { ShardId(0) }.aliveKey();
+        BOOST_TEST(site.runUntil([&site, &alive] { return !site.store().read(alive); }, Milliseconds(3000)));
+        // The hosts hear that the writer's lease is over, and nothing after that.
+        site.run(Milliseconds(10));
+        site.store().holdWatches(true);
+        site.run(silence);
+        site.store().holdWatches(false);
+        site.run(Milliseconds(3000));
+        BOOST_TEST(site.logCount(events::shardClaimed) == before + 1,
+                   "seed " << seed << " claims " << site.logCount(events::shardClaimed) - before);
+    }
+}
+
+/** One heartbeat that said so was enough to replace a writer that worked again, when its next ones were late. */
+BOOST_AUTO_TEST_CASE(writerThatWorksAgainIsNotTakenForStuck)
+{
+    constexpr Milliseconds lateness { 850 };
+    for (Milliseconds cutAfter(0); cutAfter <= Milliseconds(1000); cutAfter += Milliseconds(50)) {
+        VirtualSite site({});
+        site.run(startTime);
+        const HostId writer = site.writer().value_or(site.hosts().front());
+        for (const HostId &host : site.hosts()) {
+            site.setStoreFault(host, StoreFault::Silent);
+        }
+        site.send(site.hosts().front(), SubmitJob { std::make_shared<const JobSpec>(batchJob(1)) });
+        site.run(Milliseconds(4000));
+        for (const HostId &host : site.hosts()) {
+            site.setStoreFault(host, StoreFault::None);
+        }
+        site.record(true);
+        site.run(cutAfter);
+        const HostId other = site.hosts().back() == writer ? site.hosts().front() : site.hosts().back();
+        site.partitionHosts(writer, other, true);
+        site.run(lateness);
+        site.partitionHosts(writer, other, false);
+        site.run(Milliseconds(2500));
+        const bool isTakenForStuck = std::ranges::any_of(site.transcript(), [](const std::string &line) {
+            return line.find("event=claim_tried reason=writer-stuck") != std::string::npos;
+        });
+        BOOST_TEST(!isTakenForStuck, "cut after " << cutAfter.count() << " ms");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
