List a prefix anew after a watch that failed

Hosts answered callers by an older configuration for seconds after the store had acknowledged a newer one (CONFIG).

PrefixWatch then began the next watch at the same revision. The store lets that one wait to its end and refuses it (410) only then: 8 s for the configuration, 4 s for the claim. Besides, a shorter wait applied only from the next watch, so that a host without a writer, or the writer itself, kept a long one; a watch without an answer was followed by a watch, without bound; and refresh() dropped a listing under way at each heartbeat.

Now a failed watch is followed by a listing; a pending watch with a longer wait than the present one is replaced; the margin for an answer is 0.5 s instead of 1; a listing under way is awaited. The claim watch has the same cause: with unanswered watches no host claimed the shard of a killed writer within 12 s. It now waits 1.5 s while no heartbeat is heard. watch_failed tells of such watches.

Simulated store: a waiting watch isn't woken by a loss of history, as the trace shows. Simulated gangs: members on other workers end at once with the first; two members could report failed and done at the same millisecond, which the platform excludes ("they end done together").

--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -13,6 +13,7 @@
 inline constexpr std::string_view storeLost = "store_lost";
 inline constexpr std::string_view storeRegained = "store_regained";
 inline constexpr std::string_view watchHistoryGone = "watch_history_gone";
+inline constexpr std::string_view watchFailed = "watch_failed";
 inline constexpr std::string_view configurationInForce = "configuration_in_force";
 inline constexpr std::string_view configurationRefused = "configuration_refused";
 
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -24,6 +24,7 @@
 /** Wait of the configuration watch while the writer's heartbeats announce new versions too; otherwise shortWatchWait.
  */
 constexpr Milliseconds longWatchWait { 8000 };
+/** Short enough for a version to reach all hosts within 3 s when the store leaves the writer's watch unanswered. */
 constexpr Milliseconds shortWatchWait { 1500 };
 /** How long a writer may extend workers' leases after the store last confirmed its claim. */
 constexpr Milliseconds confirmationTerm { 3000 };
--- a/src/libjobs/prefixwatch.cpp
+++ b/src/libjobs/prefixwatch.cpp
@@ -10,7 +10,7 @@
 
 constexpr Milliseconds defaultWait { 5000 };
 /** Added to the wait of a watch to give the timeout of its call. */
-constexpr Milliseconds answerMargin { 1000 };
+constexpr Milliseconds answerMargin { 500 };
 constexpr Milliseconds listTimeout { 1500 };
 constexpr Milliseconds initialBackoff { 50 };
 constexpr Milliseconds maxBackoff { 800 };
@@ -33,6 +33,9 @@
 void PrefixWatch::setWait(Milliseconds wait)
 {
     m_wait = wait;
+    if (m_pendingWait && *m_pendingWait > wait) {
+        refresh();
+    }
 }
 
 void PrefixWatch::poll(Milliseconds interval)
@@ -42,7 +45,12 @@
 
 void PrefixWatch::refresh()
 {
+    if (m_isListing) {
+        // Restarting at each call would never finish a listing that takes longer than the time between two calls.
+        return;
+    }
     ++m_round;
+    m_pendingWait.reset();
     m_listed.clear();
     list({});
 }
@@ -59,6 +67,7 @@
 
 void PrefixWatch::list(const std::string &after)
 {
+    m_isListing = true;
     m_context.callStore(KvList { m_prefix, after, false }, listTimeout,
                         m_lifetime.guard([this, round = m_round](const KvResult &result) {
                             if (round == m_round) {
@@ -69,9 +78,10 @@
 
 void PrefixWatch::handleList(const KvResult &result)
 {
+    m_isListing = false;
     if (!result) {
         m_listed.clear();
-        retry([this] { list({}); });
+        retryList();
         return;
     }
     m_backoff = {};
@@ -123,6 +133,8 @@
 
 void PrefixWatch::watch()
 {
+    m_pendingWait = m_wait;
+    m_watchBegunAt = m_context.now();
     m_context.callStore(KvWatch { m_prefix, m_revision, m_wait }, m_wait + answerMargin,
                         m_lifetime.guard([this, round = m_round](const KvResult &result) {
                             if (round == m_round) {
@@ -133,14 +145,15 @@
 
 void PrefixWatch::handleWatch(const KvResult &result)
 {
+    m_pendingWait.reset();
     if (!result) {
+        logFailedWatch(result.error());
         if (result.error().kind == KvErrorKind::HistoryGone) {
-            m_context.log(LogLevel::Info, events::watchHistoryGone,
-                          { { "prefix", m_prefix }, { "revision", std::to_string(m_revision.value()) } });
             refresh();
-            return;
+        } else {
+            // A next watch could stay unanswered, too; only a listing tells what this one has missed.
+            retryList();
         }
-        retry([this] { watch(); });
         return;
     }
     m_backoff = {};
@@ -152,12 +165,25 @@
     watch();
 }
 
-void PrefixWatch::retry(std::function<void()> what)
+void PrefixWatch::logFailedWatch(const KvError &error)
+{
+    if (error.kind == KvErrorKind::HistoryGone) {
+        m_context.log(LogLevel::Info, events::watchHistoryGone,
+                      { { "prefix", m_prefix }, { "revision", std::to_string(m_revision.value()) } });
+    } else {
+        m_context.log(LogLevel::Info, events::watchFailed,
+                      { { "prefix", m_prefix },
+                        { "reason", std::string(kvErrorName(error.kind)) },
+                        { "after_ms", std::to_string((m_context.now() - m_watchBegunAt).count()) } });
+    }
+}
+
+void PrefixWatch::retryList()
 {
     m_backoff = std::clamp(m_backoff * 2, initialBackoff, maxBackoff);
-    m_context.schedule(m_backoff, m_lifetime.guard([this, round = m_round, what = std::move(what)] {
+    m_context.schedule(m_backoff, m_lifetime.guard([this, round = m_round] {
         if (round == m_round) {
-            what();
+            list({});
         }
     }));
 }
--- a/src/libjobs/prefixwatch.h
+++ b/src/libjobs/prefixwatch.h
@@ -10,8 +10,12 @@
 namespace currantring {
 
 /**
- * Tracks all store entries under a prefix. Lists them, then watches for changes, and lists them again when the history
- * after the last revision has been compacted; alternatively polls by listing at an interval.
+ * Tracks all store entries under a prefix. Lists them, then watches for changes, and lists them again after a watch
+ * that failed or wasn't answered, or when the history after the last revision has been compacted; alternatively polls
+ * by listing at an interval.
+ *
+ * The store may drop a watch without a sign, so a change is seen at the latest after the wait of the watch, the margin
+ * for its answer, and a listing.
  *
  * Thread safety: one thread at a time.
  */
@@ -31,11 +35,11 @@
     PrefixWatch(std::string prefix, JobContext &context, Handlers handlers);
 
     void start();
-    /** Sets how long the store holds a watch request without changes; applies from the next request. */
+    /** Sets how long the store holds a watch request without changes; a pending one with a longer wait is replaced. */
     void setWait(Milliseconds wait);
     /** Lists all entries at this interval instead of watching; cheaper where most of them change constantly. */
     void poll(Milliseconds interval);
-    /** Lists all entries now instead of waiting for a change. */
+    /** Lists all entries now instead of waiting for a change; a listing that is under way is awaited. */
     void refresh();
     /** Time of the store's last answer; nullopt before the first one. */
     [[nodiscard]] std::optional<TimePoint> lastAnswer() const;
@@ -49,7 +53,8 @@
     void scheduleNext();
     void watch();
     void handleWatch(const KvResult &result);
-    void retry(std::function<void()> what);
+    void logFailedWatch(const KvError &error);
+    void retryList();
     void applyEntry(const KvEntry &entry);
 
     std::string m_prefix;
@@ -62,6 +67,10 @@
     /** Incremented by refresh(); answers to calls of an earlier round are dropped. */
     std::uint64_t m_round = 0;
     StoreRevision m_revision;
+    bool m_isListing = false;
+    /** Wait and beginning of the watch under way; nullopt when there is none. */
+    std::optional<Milliseconds> m_pendingWait;
+    TimePoint m_watchBegunAt {};
     bool m_isSynced = false;
     std::map<std::string, StoreRevision> m_known;
     std::map<std::string, StoreRevision> m_listed;
--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -26,7 +26,9 @@
 constexpr Milliseconds probeTimeout { 250 };
 /** A writer that is stuck for this time while this host reaches the store is replaced. */
 constexpr Milliseconds stuckTimeout { 600 };
-constexpr Milliseconds watchWait { 4000 };
+/** Wait of the watch while the writer's heartbeats tell that it lives; otherwise shortWatchWait. */
+constexpr Milliseconds longWatchWait { 4000 };
+constexpr Milliseconds shortWatchWait { 1500 };
 const std::string aliveValue = "alive";
 const std::string yieldingValue = "yielding";
 
@@ -58,7 +60,7 @@
                   applyEntry(entry);
               } })
 {
-    m_watch.setWait(watchWait);
+    m_watch.setWait(shortWatchWait);
     m_claimJitter = Milliseconds(static_cast<std::int64_t>(uniformBelow(context.random(), claimJitterMs)));
 }
 
@@ -140,6 +142,7 @@
 
 void WriterElection::checkWriter()
 {
+    m_watch.setWait(isWriter() || hasRecentHeartbeat() ? longWatchWait : shortWatchWait);
     const std::string_view reason = reasonToClaim();
     if (reason.empty()) {
         m_reasonSince.reset();
@@ -174,8 +177,7 @@
     if (m_claim->host == m_options.self && m_claim->nonce != m_options.nonce) {
         return "own-earlier-process";
     }
-    const bool hasRecentHeartbeat = m_lastHeartbeatAt && m_context.now() - *m_lastHeartbeatAt < heartbeatTimeout;
-    if (hasRecentHeartbeat) {
+    if (hasRecentHeartbeat()) {
         // After a store outage that affected all hosts, the writer recovers by itself; wait before replacing it.
         const bool isStuck = m_readableSince && m_context.now() - *m_readableSince >= stuckTimeout;
         return isStuck ? "writer-stuck" : "";
@@ -186,6 +188,11 @@
     return *m_alive == yieldingValue ? "writer-yields" : "";
 }
 
+bool WriterElection::hasRecentHeartbeat() const
+{
+    return m_lastHeartbeatAt && m_context.now() - *m_lastHeartbeatAt < heartbeatTimeout;
+}
+
 void WriterElection::tryClaim(std::string_view reason)
 {
     m_isClaiming = true;
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -80,6 +80,7 @@
     void checkWriter();
     [[nodiscard]] Milliseconds claimDelay() const;
     [[nodiscard]] std::string_view reasonToClaim() const;
+    [[nodiscard]] bool hasRecentHeartbeat() const;
     void tryClaim(std::string_view reason);
     void writeClaim(LeaseId lease, StoreRevision replaced);
     void handleClaim(const KvResult &result);
--- a/tests/libjobs/invariantchecker.cpp
+++ b/tests/libjobs/invariantchecker.cpp
@@ -4,9 +4,35 @@
 
 namespace currantring {
 
-void InvariantChecker::noteConfiguration(const SiteConfiguration &configuration)
+void InvariantChecker::noteConfiguration(const SiteConfiguration &configuration, TimePoint at)
 {
     m_configuration = configuration;
+    m_versions.emplace(configuration.version, at);
+}
+
+void InvariantChecker::noteVersionUse(const ProcessRef &process, ConfigurationVersion version, TimePoint sentAt,
+                                      std::optional<TimePoint> undisturbedSince)
+{
+    if (version == ConfigurationVersion(0)) {
+        return;
+    }
+    const std::string name = process.first.value() + " answers by version " + std::to_string(version.value());
+    ConfigurationVersion &used = m_usedVersions[process];
+    if (version < used) {
+        recordViolation("CONFIG", sentAt, name + " after version " + std::to_string(used.value()));
+    }
+    used = std::max(used, version);
+    if (!undisturbedSince || sentAt - *undisturbedSince < m_bounds.contactTime) {
+        return;
+    }
+    for (auto newer = m_versions.upper_bound(version); newer != m_versions.end(); ++newer) {
+        if (sentAt - newer->second > m_bounds.configurationDelay) {
+            recordViolation("CONFIG", sentAt,
+                            name + ", " + std::to_string((sentAt - newer->second).count()) + " ms after version "
+                                + std::to_string(newer->first.value()));
+            return;
+        }
+    }
 }
 
 void InvariantChecker::noteWorker(const WorkerEntry &entry)
--- a/tests/libjobs/invariantchecker.h
+++ b/tests/libjobs/invariantchecker.h
@@ -30,9 +30,23 @@
         Milliseconds countedAge { 5000 };
         /** A count may be this old. */
         Milliseconds countAge { 2000 };
+        /** A host in touch with the store uses a configuration after this time. */
+        Milliseconds configurationDelay { 3000 };
+        /** A host is in touch when it was undisturbed for this time. */
+        Milliseconds contactTime { 3000 };
     };
 
-    void noteConfiguration(const SiteConfiguration &configuration);
+    /** Successive processes of a host have different numbers. */
+    using ProcessRef = std::pair<HostId, std::uint64_t>;
+
+    /** The store acknowledged @p configuration at @p at. */
+    void noteConfiguration(const SiteConfiguration &configuration, TimePoint at);
+    /**
+     * Checks the version by which a process handles a call sent at @p sentAt; version 0 stands for none.
+     * @p undisturbedSince is nullopt for a process that is disturbed.
+     */
+    void noteVersionUse(const ProcessRef &process, ConfigurationVersion version, TimePoint sentAt,
+                        std::optional<TimePoint> undisturbedSince);
     void noteWorker(const WorkerEntry &entry);
     /** Sets the wall-clock time at which the virtual clock is 0. */
     void noteWallStart(WallTime start);
@@ -95,6 +109,9 @@
 
     Bounds m_bounds;
     SiteConfiguration m_configuration;
+    /** When the store acknowledged each version. */
+    std::map<ConfigurationVersion, TimePoint> m_versions;
+    std::map<ProcessRef, ConfigurationVersion> m_usedVersions;
     std::map<WorkerId, WorkerEntry> m_workers;
     std::map<JobId, JobRecord> m_jobs;
     std::map<TaskRef, TaskRecord> m_tasks;
--- a/tests/libjobs/testfaults.cpp
+++ b/tests/libjobs/testfaults.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds finishTime { 40'000 };
 constexpr std::uint64_t jobs = 24;
 constexpr Milliseconds clockStep { 3000 };
+constexpr Milliseconds configurationInterval { 1700 };
 
 /** A fault that is injected while jobs are running, and the recovery from it. */
 struct FaultCase
@@ -161,6 +162,44 @@
               site.loseStoreReplies(0);
           } },
         { "store history dropped", [](VirtualSite &site) { site.store().compact(); }, noAction },
+        { "watches unanswered", [](VirtualSite &site) { disturbStoreForAllHosts(site, StoreFault::WatchesSilent); },
+          [](VirtualSite &site) {
+              disturbStoreForAllHosts(site, StoreFault::None);
+          } },
+        { "watches of the writer unanswered",
+          [](VirtualSite &site) {
+              affected->host = writerOf(site);
+              site.setStoreFault(affected->host, StoreFault::WatchesSilent);
+          },
+          [](VirtualSite &site) {
+              site.setStoreFault(affected->host, StoreFault::None);
+          } },
+        { "host with unanswered watches cut from the hosts",
+          [](VirtualSite &site) {
+              affected->host = nonWriterHost(site);
+              site.setStoreFault(affected->host, StoreFault::WatchesSilent);
+              cutFromAllHosts(site, affected->host, true);
+          },
+          [](VirtualSite &site) {
+              cutFromAllHosts(site, affected->host, false);
+              site.setStoreFault(affected->host, StoreFault::None);
+          },
+          Milliseconds(9000) },
+        { "watches deaf, then left unanswered and history dropped",
+          [](VirtualSite &site) { site.setWatchesDeaf(true); },
+          [](VirtualSite &site) {
+              site.store().compact();
+              site.setWatchesDeaf(false);
+              site.dropWatches();
+          },
+          Milliseconds(1000) },
+        { "watches deaf, then cut and history dropped", [](VirtualSite &site) { site.setWatchesDeaf(true); },
+          [](VirtualSite &site) {
+              site.store().compact();
+              site.setWatchesDeaf(false);
+              site.cutWatches();
+          },
+          Milliseconds(1000) },
         { "store leases revoked", [](VirtualSite &site) { site.store().revokeLeases(); }, noAction },
         { "worker crashed", [](VirtualSite &site) { site.crashWorker(WorkerId("w0"), false); },
           [](VirtualSite &site) {
@@ -214,6 +253,18 @@
     return cases;
 }
 
+/** Sends new versions before, during and after the faults. */
+void changeConfigurationRegularly(VirtualSite &site, Milliseconds duration)
+{
+    for (Milliseconds delay = configurationInterval; delay < duration; delay += configurationInterval) {
+        site.after(delay, [&site] {
+            SiteConfiguration next = site.configuration();
+            next.version = ConfigurationVersion(next.version.value() + 1);
+            site.configure(next);
+        });
+    }
+}
+
 /** Whether to print the log of a case: CURRANTRING_TRACE holds a prefix of the case's error messages. */
 bool isTraced(const std::string &context)
 {
@@ -241,6 +292,7 @@
     } else {
         customers.submitSpecialJobs(jobs, submissionTime);
     }
+    changeConfigurationRegularly(site, submissionTime + Milliseconds(3000));
     for (const FaultCase *injected : { &fault, second }) {
         if (injected == nullptr) {
             continue;
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -10,6 +10,8 @@
 constexpr Milliseconds callTimeout { 3000 };
 constexpr Milliseconds retryDelay { 150 };
 constexpr Milliseconds retryTimeout { 12'000 };
+/** A store whose replies take longer counts as disturbed. */
+constexpr Milliseconds longestCalmDelay { 50 };
 constexpr std::int64_t wallClockStartMs = 1'700'000'000'000;
 
 /**
@@ -178,7 +180,7 @@
     std::vector<PendingWatch> waiting;
     waiting.swap(m_pendingWatches);
     for (PendingWatch &watch : waiting) {
-        if (m_store.hasChanges(watch.request)) {
+        if (!m_areWatchesDeaf && m_store.hasChanges(watch.request)) {
             at(m_now + latency(),
                [reply = watch.reply, result = m_store.execute(watch.request, m_now)] { reply(result); });
         } else {
@@ -242,11 +244,22 @@
         m_judge.noteCancelSent(cancelled->job, m_now);
     }
     at(m_now + latency(), [this, &host, process = host.process, index, call = std::move(call)] {
-        deliver(host, process, [&host, index, call] { host.node->handleCall(CallerToken(index), call, callTimeout); });
+        deliver(host, process, [this, &host, index, call] {
+            noteVersionUse(host, m_calls[index].sentAt);
+            host.node->handleCall(CallerToken(index), call, callTimeout);
+        });
     });
     return index;
 }
 
+void VirtualSite::noteVersionUse(const Host &host, TimePoint sentAt)
+{
+    const bool isInTouch = host.isInTouch() && m_storeDelay <= longestCalmDelay;
+    const TimePoint since = std::max({ host.startedAt, host.disturbedAt, m_storeDelayChangedAt });
+    m_judge.noteVersionUse({ host.id, host.process }, versionOn(host.id), sentAt,
+                           isInTouch ? std::optional(since) : std::nullopt);
+}
+
 bool VirtualSite::submit(const JobSpec &spec)
 {
     const auto shared = std::make_shared<const JobSpec>(spec);
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -36,8 +36,8 @@
     TimePoint answeredAt {};
 };
 
-/** Fault of the store as seen from one host: it doesn't reply, or it refuses all calls. */
-enum class StoreFault { None, Silent, Refusing };
+/** Fault of the store as seen from one host: it doesn't reply, it refuses all calls, or it doesn't reply to watches. */
+enum class StoreFault { None, Silent, Refusing, WatchesSilent };
 
 /**
  * Deterministic simulation of a site: complete hosts, a store, workers and the network between them on a virtual clock.
@@ -90,6 +90,12 @@
     void stepWallClock(const HostId &host, Milliseconds by);
     void setStoreFault(const HostId &host, StoreFault fault);
     void setStoreDelay(Milliseconds perCall);
+    /** While deaf, watches report no changes and no loss of history. */
+    void setWatchesDeaf(bool areDeaf);
+    /** Ends the connections of all pending watches. */
+    void cutWatches();
+    /** Leaves all pending watches without an answer, as the platform's store does when it drops its history. */
+    void dropWatches();
     /** Loses each reply to a commit with this probability, after the commit took effect. */
     void loseStoreReplies(double probability);
     void partitionHosts(const HostId &left, const HostId &right, bool isPartitioned);
@@ -145,6 +151,7 @@
     {
         KvWatch request;
         std::function<void(const KvResult &)> reply;
+        std::shared_ptr<bool> isDropped = std::make_shared<bool>(false);
     };
     struct HeldPoll
     {
@@ -163,6 +170,8 @@
     JobDriver makeDriver(Host &host, std::uint64_t process);
     void runThrottlePeriod(Host &host, std::uint64_t process);
     void processInbox(Host &host);
+    /** Reports to the checker by which version the host handles a call that was sent at @p sentAt. */
+    void noteVersionUse(const Host &host, TimePoint sentAt);
     [[nodiscard]] WallTime wallOn(const Host &host, TimePoint when) const;
     /**
      * Runs @p body at once, or queues it while the process is paused or throttled; drops it when the process has
@@ -200,6 +209,10 @@
     std::set<std::pair<HostId, HostId>> m_hostCuts;
     std::set<std::pair<HostId, WorkerId>> m_workerCuts;
     Milliseconds m_storeDelay { 4 };
+    bool m_areWatchesDeaf = false;
+    bool m_isEndingGang = false;
+    /** When the delay of the store's replies last changed. */
+    TimePoint m_storeDelayChangedAt {};
     double m_storeReplyLoss = 0;
     double m_lateOrderProbability = 0;
     double m_orderAnswerLoss = 0;
--- a/tests/libjobs/virtualsite_p.h
+++ b/tests/libjobs/virtualsite_p.h
@@ -24,8 +24,15 @@
     {
         return isAlive && !isPaused && throttlePeriod.count() == 0;
     }
+    /** Whether the process runs and the store answers its calls; a store without replies to watches does. */
+    [[nodiscard]] bool isInTouch() const
+    {
+        return isResponsive() && (storeFault == StoreFault::None || storeFault == StoreFault::WatchesSilent);
+    }
     StoreFault storeFault = StoreFault::None;
     TimePoint startedAt {};
+    /** When a disturbance of the host last ended. */
+    TimePoint disturbedAt {};
     std::unique_ptr<JobContext> context;
     std::unique_ptr<JobNode> node;
     std::set<HostId> links;
--- a/tests/libjobs/virtualsitefaults.cpp
+++ b/tests/libjobs/virtualsitefaults.cpp
@@ -39,6 +39,7 @@
 {
     Host &host = find(id);
     host.isPaused = false;
+    host.disturbedAt = m_now;
     processInbox(host);
 }
 
@@ -56,6 +57,7 @@
     Host &host = find(id);
     host.throttlePeriod = period;
     if (period.count() == 0) {
+        host.disturbedAt = m_now;
         processInbox(host);
         return;
     }
@@ -100,11 +102,35 @@
 void VirtualSite::setStoreFault(const HostId &host, StoreFault fault)
 {
     find(host).storeFault = fault;
+    find(host).disturbedAt = m_now;
 }
 
 void VirtualSite::setStoreDelay(Milliseconds perCall)
 {
     m_storeDelay = perCall;
+    m_storeDelayChangedAt = m_now;
+}
+
+void VirtualSite::setWatchesDeaf(bool areDeaf)
+{
+    m_areWatchesDeaf = areDeaf;
+}
+
+void VirtualSite::cutWatches()
+{
+    std::vector<PendingWatch> cut;
+    cut.swap(m_pendingWatches);
+    for (const PendingWatch &watch : cut) {
+        at(m_now + latency(), [reply = watch.reply] { reply(tl::unexpected(KvError { KvErrorKind::Unknown, {} })); });
+    }
+}
+
+void VirtualSite::dropWatches()
+{
+    for (const PendingWatch &watch : m_pendingWatches) {
+        *watch.isDropped = true;
+    }
+    m_pendingWatches.clear();
 }
 
 void VirtualSite::loseStoreReplies(double probability)
@@ -192,7 +218,7 @@
 void VirtualSite::configure(const SiteConfiguration &configuration)
 {
     m_configuration = configuration;
-    m_judge.noteConfiguration(configuration);
+    m_judge.noteConfiguration(configuration, m_now);
     m_store.put(virtualConfigurationKey, std::to_string(configuration.version.value()));
 }
 
--- a/tests/libjobs/virtualsitewires.cpp
+++ b/tests/libjobs/virtualsitewires.cpp
@@ -73,16 +73,22 @@
 void VirtualSite::handleRunEvent(const WorkerRunEvent &event)
 {
     m_judge.noteFact(event);
-    if (event.kind != WorkerRunEvent::Kind::Ended || !event.isGangMember || event.end == ReportedEnd::GangBroken) {
+    const bool endsGang = event.kind == WorkerRunEvent::Kind::Ended && event.isGangMember
+        && event.end != ReportedEnd::GangBroken && !m_isEndingGang;
+    if (!endsGang) {
         return;
     }
     const GangRef gang { event.run.task.step, event.run.number };
     const ReportedEnd others = event.end == ReportedEnd::Done ? ReportedEnd::Done : ReportedEnd::GangBroken;
-    at(m_now, [this, gang, others] {
-        for (const auto &node : m_workers) {
+    // Members on other workers end at once, before one whose work ends at the same time could report another end.
+    m_isEndingGang = true;
+    for (const auto &node : m_workers) {
+        if (node->worker->entry().id != event.worker) {
             node->worker->endGang(gang, others, m_now);
         }
-    });
+    }
+    m_isEndingGang = false;
+    at(m_now, [this, gang, others, worker = event.worker] { workerNode(worker).worker->endGang(gang, others, m_now); });
 }
 
 /** Starts the work of the gangs whose members are all running. */
@@ -145,7 +151,8 @@
     };
     at(m_now + timeout, [finish] { finish(tl::unexpected(KvError { KvErrorKind::Unknown, {} })); });
     at(m_now + latency(), [this, &host, process, request, finish] {
-        if (host.storeFault == StoreFault::Silent) {
+        const bool isWatch = std::holds_alternative<KvWatch>(request);
+        if (host.storeFault == StoreFault::Silent || (host.storeFault == StoreFault::WatchesSilent && isWatch)) {
             return;
         }
         if (host.storeFault == StoreFault::Refusing) {
@@ -160,9 +167,16 @@
 void VirtualSite::arriveAtStore(Host & /*host*/, std::uint64_t /*process*/, const KvRequest &request,
                                 const JobDriver::KvHandler &then)
 {
-    if (const auto *watch = std::get_if<KvWatch>(&request); watch != nullptr && !m_store.hasChanges(*watch)) {
-        m_pendingWatches.push_back({ *watch, then });
-        at(m_now + watch->wait, [this, request, then] { then(m_store.execute(request, m_now)); });
+    const auto *const watch = std::get_if<KvWatch>(&request);
+    const bool isAnswered =
+        watch == nullptr || (!m_areWatchesDeaf && (m_store.hasChanges(*watch) || m_store.isCompacted(*watch)));
+    if (!isAnswered) {
+        const PendingWatch &pending = m_pendingWatches.emplace_back(PendingWatch { *watch, then });
+        at(m_now + watch->wait, [this, request, then, isDropped = pending.isDropped] {
+            if (!m_areWatchesDeaf && !*isDropped) {
+                then(m_store.execute(request, m_now));
+            }
+        });
         return;
     }
     const KvResult result = m_store.execute(request, m_now);
--- a/tests/libjobs/virtualstore.cpp
+++ b/tests/libjobs/virtualstore.cpp
@@ -72,14 +72,19 @@
 
 bool VirtualStore::hasChanges(const KvWatch &watch) const
 {
-    return watch.after < m_compacted || std::ranges::any_of(m_history, [&watch](const KvEntry &change) {
-               return change.revision > watch.after && change.key.starts_with(watch.prefix);
-           });
+    return std::ranges::any_of(m_history, [&watch](const KvEntry &change) {
+        return change.revision > watch.after && change.key.starts_with(watch.prefix);
+    });
+}
+
+bool VirtualStore::isCompacted(const KvWatch &watch) const
+{
+    return watch.after < m_compacted;
 }
 
 KvResult VirtualStore::watch(const KvWatch &request) const
 {
-    if (request.after < m_compacted) {
+    if (isCompacted(request)) {
         return tl::unexpected(KvError { KvErrorKind::HistoryGone, {} });
     }
     KvReply reply;
--- a/tests/libjobs/virtualstore.h
+++ b/tests/libjobs/virtualstore.h
@@ -19,8 +19,13 @@
 public:
     /** Executes @p request at @p now; a watch without changes gives an empty reply. */
     KvResult execute(const KvRequest &request, TimePoint now);
-    /** Whether a watch has changes to report, or its history is compacted. */
+    /**
+     * Whether a watch that waits has changes to report. The platform's store doesn't end a waiting watch when it drops
+     * the history, but refuses it at the end of its wait.
+     */
     [[nodiscard]] bool hasChanges(const KvWatch &watch) const;
+    /** Whether the history that a watch asks for is compacted. */
+    [[nodiscard]] bool isCompacted(const KvWatch &watch) const;
     /** Ends the leases that have expired at @p now and deletes their entries. */
     void advance(TimePoint now);
     /** When the next lease expires; nullopt when none does. */
