Send a large configuration to a host that lags once, not with each heartbeat

Cause, by the code: the writer sent the whole text to each host that lagged with each of its heartbeats, every 400 ms. With 44 hosts that is more than its link carries, and more than half of a small host's link, beside the same text that the host reads from the store. The text goes out 800 ms after the writer has it, to hosts that still lag, and 1.5 s apart.

--- a/src/libjobs/entryhosts.cpp
+++ b/src/libjobs/entryhosts.cpp
@@ -10,6 +10,8 @@
 constexpr Milliseconds hostTimeout { 1200 };
 /** A host without a heartbeat for this time is removed. */
 constexpr Milliseconds hostRemovalDelay { 10'000 };
+/** A large configuration takes this long to a host with a slow link. */
+constexpr Milliseconds offerInterval { 1500 };
 /** A hand-over interrupts the service, so a larger host must have been reachable for this time before it. */
 constexpr Milliseconds largerHostSettleTime { 3000 };
 /** A host that restarts again and again must not get the shard each time. */
@@ -23,7 +25,7 @@
 
 bool EntryHosts::add(const HostId &host, const Address &address)
 {
-    return m_hosts.try_emplace(host, EntryHost { address, {}, {}, {} }).second;
+    return m_hosts.try_emplace(host, EntryHost { address, {}, {}, {}, {} }).second;
 }
 
 bool EntryHosts::recordHeartbeat(const HostId &id, const HostHeartbeat &beat, TimePoint now)
@@ -39,6 +41,16 @@
     return hasMoved;
 }
 
+bool EntryHosts::beginOffer(const HostId &id, TimePoint now)
+{
+    EntryHost &host = m_hosts[id];
+    if (host.offeredAt && now - *host.offeredAt < offerInterval) {
+        return false;
+    }
+    host.offeredAt = now;
+    return true;
+}
+
 bool EntryHosts::hasHeartbeat(const HostId &host) const
 {
     const auto known = m_hosts.find(host);
--- a/src/libjobs/entryhosts.h
+++ b/src/libjobs/entryhosts.h
@@ -21,6 +21,8 @@
     bool add(const HostId &host, const Address &address);
     /** Records a heartbeat; true when the host's address is new or has changed. */
     bool recordHeartbeat(const HostId &host, const HostHeartbeat &beat, TimePoint now);
+    /** Whether to send the configuration to a host that lags behind now; a text on its way is awaited. */
+    bool beginOffer(const HostId &host, TimePoint now);
     /** Whether the host has sent a heartbeat. */
     [[nodiscard]] bool hasHeartbeat(const HostId &host) const;
     /** Removes the hosts that have long been silent, and returns them. */
@@ -48,6 +50,8 @@
         /** Beginning of the heartbeats without a gap longer than the host timeout. */
         TimePoint reachableSince {};
         HostHeartbeat beat;
+        /** When the configuration was last sent to the host. */
+        std::optional<TimePoint> offeredAt;
     };
 
     [[nodiscard]] static bool isReachable(const EntryHost &host, TimePoint now);
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -27,6 +27,8 @@
 constexpr Milliseconds confirmationTerm { 3000 };
 constexpr Milliseconds registerTimeout { 1500 };
 constexpr Milliseconds retryDelay { 300 };
+/** Time in which other hosts read a new configuration from the store, before the writer sends it to them. */
+constexpr Milliseconds offerDelay { 800 };
 /** How long a writer that hands the shard over waits for its last commit. */
 constexpr Milliseconds finishTimeout { 1000 };
 /** A larger host that couldn't keep the shard gets it again only after this time. */
@@ -94,6 +96,7 @@
     }
     m_configuration = std::make_shared<const SiteConfiguration>(*decoded);
     m_configurationText = text;
+    m_configurationSince = m_context.now();
     m_context.log(LogLevel::Info, events::configurationInForce,
                   { { "version", std::to_string(decoded->version.value()) },
                     { "queues", std::to_string(decoded->queues.size()) },
@@ -305,7 +308,10 @@
     if (m_hosts.recordHeartbeat(from, beat, m_context.now())) {
         m_context.linkPeer(from, beat.address);
     }
-    if (m_configuration && beat.configuration < m_configuration->version && !isNew) {
+    const bool isBehind = m_configuration && beat.configuration < m_configuration->version && !isNew;
+    // A host that reaches the store reads the version there, as the heartbeats announce it.
+    const bool hadTimeToRead = m_context.now() - m_configurationSince >= offerDelay;
+    if (isBehind && hadTimeToRead && m_hosts.beginOffer(from, m_context.now())) {
         m_context.sendPeer(from, ConfigurationOffer { m_configurationText });
     }
 }
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -91,6 +91,7 @@
     std::shared_ptr<const SiteConfiguration> m_configuration;
     /** Encoded configuration as read, sent to hosts that have an older version. */
     std::string m_configurationText;
+    TimePoint m_configurationSince {};
     std::function<void()> m_configurationHandler;
     PrefixWatch m_configurationWatch;
     WriterElection m_election;
