--- a/tests/libjobs/testtakeover.cpp
+++ b/tests/libjobs/testtakeover.cpp
@@ -375,4 +375,40 @@
     }
 }
 
+/** Nothing tells the writer whether its successor reaches the workers. */
+BOOST_AUTO_TEST_CASE(shardStaysWithTheWriterThatReachesTheWorkers)
+{
+    VirtualSite site(siteOfTwoSizes(1));
+    site.killHost(HostId("h0"));
+    site.killHost(HostId("h3"));
+    site.run(startTime);
+    for (const WorkerId &worker : site.workers()) {
+        site.partitionWorker(HostId("h0"), worker, true);
+    }
+    site.restartHost(HostId("h0"));
+    site.run(Milliseconds(12'000));
+    const JobSpec job = batchJob(1);
+    BOOST_TEST(site.submit(job));
+    BOOST_TEST(site.runUntil([&site] { return site.judge().starts() == 2; }, Milliseconds(20'000)),
+               "the writer is " << site.writer().value_or(HostId()).value() << ", no task starts for 20 s");
+}
+
+/** A host that has just started has had no time to hear the writer. */
+BOOST_AUTO_TEST_CASE(freshHostListensBeforeItClaimsOverAWriter)
+{
+    VirtualSite site({});
+    site.run(startTime);
+    const HostId writer = site.writer().value();
+    const HostId other = site.hosts().front() == writer ? site.hosts().back() : site.hosts().front();
+    site.setStoreFault(writer, StoreFault::Silent);
+    site.run(Milliseconds(1500));
+    site.killHost(other);
+    site.restartHost(other);
+    site.run(Milliseconds(100));
+    site.setStoreFault(writer, StoreFault::None);
+    site.run(Milliseconds(5000));
+    BOOST_TEST((site.writer() == writer));
+    BOOST_TEST(site.logCount(events::shardClaimed) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
