Move lasting tasks off a draining worker in waves

Cause: nothing moved a lasting task off a worker that announced its departure. Change: a lasting task on a draining worker moves while it still runs, within the number that its step may miss, those on the worker that leaves first before the others; shortly before the departure all that are left move. Shown: the three tests of LastingTasks failed before (a worker of four tasks kept them until it left, and they were away for 4.6 s after that), and pass now.

--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -100,8 +100,9 @@
 RunMonitor::Sources RunController::monitorSources()
 {
     return { [this](const LiveRun &run) { return m_starter.requestFor(run.ref.task, *run.step, run.queue); },
-             [this](const LiveRun &run) {
-                 return unavailableSiblings(run);
+             [this](const LiveRun &run) { return unavailableSiblings(run); },
+             [this](const LiveRun &run, TimePoint time) {
+                 return siblingsLeavingBefore(run, time);
              } };
 }
 
@@ -462,30 +463,43 @@
     m_starter.open(run.ref.task, *job);
 }
 
-bool RunController::isReady(const TaskRef &task, const Task &state)
+/** The worker on which the task is ready; null when the task isn't. */
+const WorkerLink *RunController::readyOn(const TaskRef &task)
 {
-    if (state.runs.empty()) {
-        return false;
+    const Job *const job = m_log.table().find(task.step.job);
+    const Task *const state = job == nullptr ? nullptr : job->task(task);
+    if (state == nullptr || state->runs.empty()) {
+        return nullptr;
     }
-    const WorkerLink *const link = m_fleet.find(state.runs.front().worker);
+    const WorkerLink *const link = m_fleet.find(state->runs.front().worker);
     if (link == nullptr) {
-        return false;
+        return nullptr;
     }
-    const auto run = link->runs().find(RunRef { task, state.runs.front().number });
-    return run != link->runs().end() && run->second.phase == RunPhase::Running && run->second.percent == 100;
+    const auto run = link->runs().find(RunRef { task, state->runs.front().number });
+    const bool isReady =
+        run != link->runs().end() && run->second.phase == RunPhase::Running && run->second.percent == 100;
+    return isReady ? link : nullptr;
 }
 
 std::uint32_t RunController::unavailableSiblings(const LiveRun &run)
 {
-    const Job *const job = m_log.table().find(run.ref.task.step.job);
     std::uint32_t unavailable = 0;
-    for (std::uint32_t index = 0; job != nullptr && index < run.step->count; ++index) {
-        const TaskRef task { run.ref.task.step, index };
-        unavailable += isReady(task, *job->task(task)) ? 0 : 1;
+    for (std::uint32_t index = 0; index < run.step->count; ++index) {
+        unavailable += readyOn({ run.ref.task.step, index }) == nullptr ? 1 : 0;
     }
     return unavailable;
 }
 
+std::uint32_t RunController::siblingsLeavingBefore(const LiveRun &run, TimePoint time)
+{
+    std::uint32_t leaving = 0;
+    for (std::uint32_t index = 0; index < run.step->count; ++index) {
+        const WorkerLink *const link = readyOn({ run.ref.task.step, index });
+        leaving += link != nullptr && link->leavesAt() && *link->leavesAt() < time ? 1 : 0;
+    }
+    return leaving;
+}
+
 void RunController::sweep()
 {
     m_neighbours.expireLoads(m_context.now());
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -82,7 +82,8 @@
     void copyRun(const LiveRun &run, std::string_view reason);
     void sweep();
     [[nodiscard]] std::uint32_t unavailableSiblings(const LiveRun &run);
-    [[nodiscard]] bool isReady(const TaskRef &task, const Task &state);
+    [[nodiscard]] std::uint32_t siblingsLeavingBefore(const LiveRun &run, TimePoint time);
+    [[nodiscard]] const WorkerLink *readyOn(const TaskRef &task);
     void stopRun(const RunRef &run, const WorkerId &worker);
     void observeClose(const JobId &id, JobPhase phase);
     void close(const JobId &job, JobPhase phase);
--- a/src/libjobs/runmonitor.cpp
+++ b/src/libjobs/runmonitor.cpp
@@ -23,6 +23,8 @@
 /** A lasting task that isn't ready and made no start-up progress for this time is moved. */
 constexpr Milliseconds startProgressTimeout { 3000 };
 constexpr std::size_t maxMovesPerReport = 2;
+/** A draining worker that may leave within this time ends its tasks anyway, so all of them move. */
+constexpr Milliseconds departureTime { 1500 };
 /** How long a failed search for a better place for halted fillers is cached. */
 constexpr Milliseconds noBetterLifetime { 100 };
 constexpr std::size_t minDurationSamples = 2;
@@ -37,6 +39,11 @@
     return run.phase == RunPhase::Running && run.wasReported && run.percent == 100;
 }
 
+bool isAboutToLeave(const WorkerLink &link, TimePoint now)
+{
+    return link.leavesAt() && *link.leavesAt() - now < departureTime;
+}
+
 } // namespace
 
 RunMonitor::RunMonitor(const NeighbourModel &neighbours, const RunPlacer &placer, WorkerHealth &health, Sources sources)
@@ -53,13 +60,14 @@
     if (isWorkerUnsound) {
         m_health.noteUnhealthy(link.entry().id, now);
     }
+    const std::size_t maxMoves = isAboutToLeave(link, now) ? link.runs().size() : maxMovesPerReport;
     std::vector<RunMove> moves;
     for (const auto &[ref, run] : link.runs()) {
-        if (run.phase != RunPhase::Running || moves.size() >= maxMovesPerReport) {
+        if (run.phase != RunPhase::Running || moves.size() >= maxMoves) {
             continue;
         }
-        const std::string_view reason = reasonToMove(run, isWorkerUnsound, now);
-        if (reason.empty() || !mayMove(run, moves)) {
+        const std::string_view reason = reasonToMove(run, link, isWorkerUnsound, now);
+        if (reason.empty() || !mayMove(run, link, moves, now)) {
             continue;
         }
         if (hasBetterPlace(run, link, reason == haltedReason, now)) {
@@ -126,13 +134,17 @@
     return now - since >= unsoundDelay;
 }
 
-std::string_view RunMonitor::reasonToMove(const LiveRun &run, bool isWorkerUnsound, TimePoint now) const
+std::string_view RunMonitor::reasonToMove(const LiveRun &run, const WorkerLink &link, bool isWorkerUnsound,
+                                          TimePoint now) const
 {
     const bool losesLittle = run.step->hasCheckpoints || run.percent < lowProgressPercent;
     if (run.step->isLasting) {
         // Start-up may take many seconds, so the time since the last progress counts.
         const TimePoint since = std::max(run.progressAt, run.settledAt.value_or(now));
         const bool isLate = run.percent < 100 && now - since > startProgressTimeout;
+        if (link.leavesAt()) {
+            return "worker-draining";
+        }
         return isWorkerUnsound ? "worker-unsound" : isLate ? stalledReason : "";
     }
     if (isWorkerUnsound && (losesLittle || run.percent < maxProgressPercent)) {
@@ -190,15 +202,24 @@
     std::erase_if(m_durations, [&job](const auto &entry) { return entry.first.job == job; });
 }
 
-/** @p moves: the moves already decided, of which the runs are still available. */
-bool RunMonitor::mayMove(const LiveRun &run, const std::vector<RunMove> &moves) const
+/**
+ * Whether the step can spare the run. @p moves: the moves already decided, of which the runs are still available.
+ *
+ * Tasks on workers that leave earlier go first, as far as the step may miss only few.
+ */
+bool RunMonitor::mayMove(const LiveRun &run, const WorkerLink &link, const std::vector<RunMove> &moves,
+                         TimePoint now) const
 {
-    if (run.step->mayMiss == 0 || !isReady(run)) {
+    if (run.step->mayMiss == 0 || !isReady(run) || isAboutToLeave(link, now)) {
         return true;
     }
     const auto siblings =
         std::ranges::count_if(moves, [&run](const RunMove &move) { return move.run.task.step == run.ref.task.step; });
-    return m_sources.unavailableSiblings(run) + static_cast<std::uint32_t>(siblings) < run.step->mayMiss;
+    std::uint32_t spent = m_sources.unavailableSiblings(run) + static_cast<std::uint32_t>(siblings);
+    if (spent < run.step->mayMiss && link.leavesAt()) {
+        spent += m_sources.siblingsLeavingBefore(run, *link.leavesAt());
+    }
+    return spent < run.step->mayMiss;
 }
 
 } // namespace currantring
--- a/src/libjobs/runmonitor.h
+++ b/src/libjobs/runmonitor.h
@@ -21,8 +21,8 @@
 };
 
 /**
- * Finds runs to move: those on an unsound worker, stalled runs, stragglers, and fillers that are throttled beside a
- * serving task.
+ * Finds runs to move: those on an unsound worker, lasting tasks on a draining one, stalled runs, stragglers, and
+ * fillers that are throttled beside a serving task.
  *
  * Thread safety: one thread at a time.
  */
@@ -35,6 +35,8 @@
         std::function<std::optional<PlacementRequest>(const LiveRun &run)> requestFor;
         /** Returns the number of tasks of the run's step that aren't ready. */
         std::function<std::uint32_t(const LiveRun &run)> unavailableSiblings;
+        /** Returns the number of ready tasks of the run's step on workers that leave before @p time. */
+        std::function<std::uint32_t(const LiveRun &run, TimePoint time)> siblingsLeavingBefore;
     };
 
     /** Precondition: the arguments outlive the object. */
@@ -49,8 +51,10 @@
 
 private:
     [[nodiscard]] bool isUnsound(const WorkerLink &link, TimePoint now);
-    [[nodiscard]] std::string_view reasonToMove(const LiveRun &run, bool isWorkerUnsound, TimePoint now) const;
-    [[nodiscard]] bool mayMove(const LiveRun &run, const std::vector<RunMove> &moves) const;
+    [[nodiscard]] std::string_view reasonToMove(const LiveRun &run, const WorkerLink &link, bool isWorkerUnsound,
+                                                TimePoint now) const;
+    [[nodiscard]] bool mayMove(const LiveRun &run, const WorkerLink &link, const std::vector<RunMove> &moves,
+                               TimePoint now) const;
     bool hasBetterPlace(const LiveRun &run, const WorkerLink &link, bool isHalted, TimePoint now);
     [[nodiscard]] static bool isStalled(const LiveRun &run, TimePoint now);
     [[nodiscard]] bool isStraggler(const LiveRun &run, TimePoint now) const;
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -34,6 +34,7 @@
     , m_lease(timing.longestLease, inheritedUntil)
 {
     noteChange();
+    updateDeparture();
 }
 
 void WorkerLink::begin()
@@ -48,6 +49,18 @@
     }
     m_entry = std::move(entry);
     setListed(true);
+    updateDeparture();
+}
+
+void WorkerLink::updateDeparture()
+{
+    if (m_entry.standing != WorkerStanding::Draining) {
+        m_leavesAt.reset();
+        return;
+    }
+    // An entry that a silent worker doesn't renew must not postpone the time.
+    const TimePoint announced = m_context.now() + m_entry.remaining;
+    m_leavesAt = std::min(m_leavesAt.value_or(announced), announced);
 }
 
 void WorkerLink::setListed(bool isListed)
@@ -521,6 +534,11 @@
     return m_unlistedSince;
 }
 
+std::optional<TimePoint> WorkerLink::leavesAt() const
+{
+    return m_leavesAt;
+}
+
 std::uint64_t WorkerLink::revision() const
 {
     return m_revision;
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -106,6 +106,8 @@
     [[nodiscard]] bool isListed() const;
     /** When the worker disappeared from the platform's list. */
     [[nodiscard]] TimePoint unlistedSince() const;
+    /** Earliest time at which a draining worker leaves; nullopt when the worker isn't draining. */
+    [[nodiscard]] std::optional<TimePoint> leavesAt() const;
     /** Changes with the runs, what is known of them, and the capacity; no two links ever have the same. */
     [[nodiscard]] std::uint64_t revision() const;
     /** Resources reserved by the runs. */
@@ -135,6 +137,7 @@
     void addRun(LiveRun run);
     LiveRun removeRun(std::map<RunRef, LiveRun>::iterator place);
     void noteChange();
+    void updateDeparture();
 
     WorkerEntry m_entry;
     WriterToken m_token;
@@ -144,6 +147,7 @@
     Lifetime m_lifetime;
     bool m_isListed = true;
     TimePoint m_unlistedSince {};
+    std::optional<TimePoint> m_leavesAt;
     bool m_isReachable = false;
     /** The worker's life according to its latest answer, or to its entry before the first answer. */
     WorkerLife m_life;
--- /dev/null
+++ b/tests/libjobs/testlasting.cpp
@@ -0,0 +1,145 @@
+#include "jobevents.h"
+#include "virtualjobs.h"
+#include "virtualsite.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace currantring;
+
+namespace {
+
+constexpr Milliseconds startTime { 1500 };
+constexpr Milliseconds step { 10 };
+constexpr std::uint64_t seeds = 10;
+
+std::vector<TaskRef> tasksOf(const JobSpec &job)
+{
+    std::vector<TaskRef> tasks;
+    for (std::uint32_t index = 0; index < job.steps.front().count; ++index) {
+        tasks.push_back({ { job.id, 0, 0 }, index });
+    }
+    return tasks;
+}
+
+bool runsAnywhere(VirtualSite &site, const TaskRef &task)
+{
+    return std::ranges::any_of(site.workers(),
+                               [&site, &task](const WorkerId &worker) { return site.worker(worker).runs(task); });
+}
+
+std::size_t countRunning(VirtualSite &site, const std::vector<TaskRef> &tasks)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(tasks, [&site](const TaskRef &task) { return runsAnywhere(site, task); }));
+}
+
+std::size_t countOn(VirtualSite &site, const WorkerId &worker, const std::vector<TaskRef> &tasks)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(tasks, [&site, &worker](const TaskRef &task) { return site.worker(worker).runs(task); }));
+}
+
+/** The worker that runs most of @p tasks. */
+WorkerId busiestWorker(VirtualSite &site, const std::vector<TaskRef> &tasks)
+{
+    const std::vector<WorkerId> workers = site.workers();
+    return *std::ranges::max_element(workers, {}, [&](const WorkerId &worker) { return countOn(site, worker, tasks); });
+}
+
+/** Starts the site with a lasting job whose tasks all run, and returns the tasks. */
+std::vector<TaskRef> startLastingJob(VirtualSite &site, const JobSpec &job)
+{
+    site.run(startTime);
+    BOOST_REQUIRE(site.submit(job));
+    const std::vector<TaskRef> tasks = tasksOf(job);
+    BOOST_REQUIRE(
+        site.runUntil([&site, &tasks] { return countRunning(site, tasks) == tasks.size(); }, Milliseconds(3000)));
+    site.run(Milliseconds(2000));
+    return tasks;
+}
+
+/** Time until all @p tasks run; more than the limit when they still don't. */
+Milliseconds timeUntilAllRun(VirtualSite &site, const std::vector<TaskRef> &tasks)
+{
+    constexpr Milliseconds limit { 20'000 };
+    const TimePoint from = site.now();
+    site.runUntil([&site, &tasks] { return countRunning(site, tasks) == tasks.size(); }, limit);
+    return site.now() - from;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LastingTasks)
+
+/** Lasting tasks leave a draining worker while it still runs them, few of a step at a time. */
+BOOST_AUTO_TEST_CASE(leaveADrainingWorkerInWaves)
+{
+    constexpr Milliseconds remaining { 8000 };
+    for (const std::uint32_t mayMiss : { 1U, 2U }) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            VirtualSite site({ .seed = seed });
+            JobSpec job = lastingJob(seed, 6);
+            job.steps.front().mayMiss = mayMiss;
+            const std::vector<TaskRef> tasks = startLastingJob(site, job);
+            const WorkerId worker = busiestWorker(site, tasks);
+            BOOST_TEST(countOn(site, worker, tasks) > mayMiss);
+            site.drainWorker(worker, remaining);
+            const TimePoint leavesAt = site.now() + remaining;
+            std::size_t fewest = tasks.size();
+            while (site.now() < leavesAt) {
+                site.run(step);
+                fewest = std::min(fewest, countRunning(site, tasks));
+            }
+            BOOST_TEST(countOn(site, worker, tasks) == 0U, "seed " << seed << " mayMiss " << mayMiss);
+            BOOST_TEST(fewest + mayMiss >= tasks.size(),
+                       "seed " << seed << ": " << tasks.size() - fewest << " of a step away, allowed " << mayMiss);
+            BOOST_TEST(countRunning(site, tasks) == tasks.size());
+        }
+    }
+}
+
+/** Of two draining workers, the tasks of the one that leaves first go first. */
+BOOST_AUTO_TEST_CASE(leaveTheWorkerThatLeavesFirst)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VirtualSite site({ .seed = seed, .workers = 3 });
+        JobSpec job = lastingJob(seed, 8);
+        job.steps.front().mayMiss = 1;
+        job.steps.front().spreadLimit = 4;
+        const std::vector<TaskRef> tasks = startLastingJob(site, job);
+        std::vector<WorkerId> leaving;
+        for (const WorkerId &worker : site.workers()) {
+            if (countOn(site, worker, tasks) > 0 && leaving.size() < 2) {
+                leaving.push_back(worker);
+            }
+        }
+        BOOST_REQUIRE(leaving.size() == 2);
+        std::ranges::reverse(leaving);
+        site.drainWorker(leaving.front(), Milliseconds(6000));
+        site.drainWorker(leaving.back(), Milliseconds(30'000));
+        const std::size_t before = countOn(site, leaving.back(), tasks);
+        BOOST_TEST(site.runUntil([&] { return countOn(site, leaving.front(), tasks) == 0; }, Milliseconds(6000)),
+                   "seed " << seed);
+        BOOST_TEST(countOn(site, leaving.back(), tasks) == before, "seed " << seed);
+    }
+}
+
+/** A worker that is about to leave ends its tasks anyway, so the last of them move together. */
+BOOST_AUTO_TEST_CASE(leaveAWorkerThatLeavesSoonAtOnce)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VirtualSite site({ .seed = seed });
+        JobSpec job = lastingJob(seed, 4);
+        job.steps.front().mayMiss = 1;
+        const std::vector<TaskRef> tasks = startLastingJob(site, job);
+        const WorkerId worker = busiestWorker(site, tasks);
+        site.drainWorker(worker, Milliseconds(2200));
+        site.run(Milliseconds(2200));
+        BOOST_TEST(countOn(site, worker, tasks) == 0U, "seed " << seed);
+        site.crashWorker(worker, true);
+        const Milliseconds away = timeUntilAllRun(site, tasks);
+        BOOST_TEST(away.count() < 1000, "seed " << seed << ": away for " << away.count() << " ms");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -110,7 +110,8 @@
     void loseOrderAnswers(double probability);
     /** Adds the worker's entry to the store, or removes it. */
     void listWorker(const WorkerId &worker, bool isListed);
-    void drainWorker(const WorkerId &worker);
+    /** The worker announces that it leaves, after at least @p remaining. */
+    void drainWorker(const WorkerId &worker, Milliseconds remaining = Milliseconds(0));
     void configure(const SiteConfiguration &configuration);
 
     // State.
--- a/tests/libjobs/virtualsitefaults.cpp
+++ b/tests/libjobs/virtualsitefaults.cpp
@@ -209,9 +209,9 @@
     }
 }
 
-void VirtualSite::drainWorker(const WorkerId &worker)
+void VirtualSite::drainWorker(const WorkerId &worker, Milliseconds remaining)
 {
-    workerNode(worker).worker->setStanding(WorkerStanding::Draining);
+    workerNode(worker).worker->setDraining(remaining);
     listWorker(worker, true);
 }
 
--- a/tests/libjobs/virtualworker.cpp
+++ b/tests/libjobs/virtualworker.cpp
@@ -340,6 +340,12 @@
     m_entry.standing = standing;
 }
 
+void VirtualWorker::setDraining(Milliseconds remaining)
+{
+    setStanding(WorkerStanding::Draining);
+    m_entry.remaining = remaining;
+}
+
 bool VirtualWorker::isSound() const
 {
     return !m_isFailing && !m_isHanging;
--- a/tests/libjobs/virtualworker.h
+++ b/tests/libjobs/virtualworker.h
@@ -90,6 +90,8 @@
 
     [[nodiscard]] const WorkerEntry &entry() const;
     void setStanding(WorkerStanding standing);
+    /** Announces that the worker leaves, after at least @p remaining. */
+    void setDraining(Milliseconds remaining);
     /** Whether tasks neither fail nor hang because of the worker. */
     [[nodiscard]] bool isSound() const;
     [[nodiscard]] std::size_t runningCount() const;
