Let a host that has just started listen before it claims over a writer

Cause: a process that reads a claim at its start had heard no heartbeat, which counted like a writer that is silent. With the writer's liveness entry gone for another reason, it claimed at once. Change: a claim counts as a sign of life of its writer from when this process first sees it. A later process on the writer's own host still claims at once.

--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -82,11 +82,8 @@
     }
     m_claimRevision = entry.revision;
     m_claim = decodeClaim(entry);
-    m_lastHeartbeatAt.reset();
-    if (m_watch.isSynced()) {
-        // The new writer's sign of life may not have been seen yet.
-        m_lastHeartbeatAt = m_context.now();
-    }
+    // The writer's signs of life may not have been seen yet, also when this process has just started.
+    m_lastHeartbeatAt = m_context.now();
     m_readableSince.reset();
     if (!m_claim) {
         m_context.log(LogLevel::Error, events::claimUnreadable,
