Hand the shard back when its writer reaches hardly any worker

Cause: a host is chosen as writer by its size and its access to the store; nothing tells whether it reaches the workers. A larger host without them kept the shard, and no task started. Probing workers from all hosts was ruled out: each probe costs, on each host, all the time.

--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -27,6 +27,7 @@
 inline constexpr std::string_view shardActive = "shard_active";
 inline constexpr std::string_view shardLost = "shard_lost";
 inline constexpr std::string_view shardHandedOver = "shard_handed_over";
+inline constexpr std::string_view writerUnsuited = "writer_unsuited";
 inline constexpr std::string_view knowledgeRead = "knowledge_read";
 inline constexpr std::string_view logLoaded = "log_loaded";
 inline constexpr std::string_view logSlotUnreadable = "log_slot_unreadable";
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -145,6 +145,8 @@
 
 void JobNode::sendHeartbeats()
 {
+    const bool isUnsuited = m_suitability.isUnsuited(m_context.now());
+    m_election.setReluctant(isUnsuited);
     if (m_writer) {
         sendWriterHeartbeats();
     } else if (m_election.claim()) {
@@ -153,7 +155,7 @@
             m_election.claim()->host,
             HostHeartbeat { m_options.peerAddress, m_configuration ? m_configuration->version : ConfigurationVersion(0),
                             m_context.now() - storeAnswer, m_context.now() - m_startedAt, m_options.processors,
-                            m_isStopping, m_options.nonce, m_election.claim()->token });
+                            m_isStopping || isUnsuited, m_options.nonce, m_election.claim()->token });
     }
     m_configurationWatch.setWait(isWriterReachable() ? longWatchWait : shortWatchWait);
     m_context.schedule(heartbeatInterval, m_lifetime.guard([this] { sendHeartbeats(); }));
@@ -177,7 +179,31 @@
     for (const HostId &host : m_hosts.hosts()) {
         m_context.sendPeer(host, beat);
     }
-    yieldToLargerHost();
+    yieldIfUnsuited();
+    if (m_writer) {
+        yieldToLargerHost();
+    }
+}
+
+void JobNode::yieldIfUnsuited()
+{
+    if (m_isHandingOver || m_isStopping || !m_writer->isActive()) {
+        m_suitability.recordInactive();
+        return;
+    }
+    const TimePoint now = m_context.now();
+    const std::size_t reachable = m_writer->fleet().reachableCount();
+    const std::size_t listed = m_writer->fleet().listedCount();
+    if (!m_suitability.recordReach(reachable, listed, now)) {
+        return;
+    }
+    if (const std::optional<HostId> successor = m_hosts.successor(now)) {
+        m_context.log(LogLevel::Warning, events::writerUnsuited,
+                      { { "reachable", std::to_string(reachable) }, { "listed", std::to_string(listed) } });
+        m_suitability.recordGivenUp(now);
+        m_isHandingOver = true;
+        finishWriter([this, successor] { handOver(successor); });
+    }
 }
 
 void JobNode::yieldToLargerHost()
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -5,6 +5,7 @@
 #include "jobwriter.h"
 #include "siteformats.h"
 #include "writerelection.h"
+#include "writersuitability.h"
 
 #include <functional>
 #include <memory>
@@ -73,6 +74,8 @@
     void handleHostBeat(const HostId &from, const HostHeartbeat &beat);
     void handleWriterBeat(const HostId &from, const WriterHeartbeat &beat);
     bool sendCall(ForwardNumber number, const CallerCall &call, Milliseconds timeLeft);
+    /** Hands the shard over if this host reaches hardly any worker and another host can take it. */
+    void yieldIfUnsuited();
     /** Hands the shard over if a considerably larger host has been reachable for some time. */
     void yieldToLargerHost();
     /** Flushes the log and runs @p then, at the latest after some time without an answer of the store. */
@@ -104,6 +107,7 @@
     /** Last heartbeat from the holder of the current claim. */
     std::optional<TimePoint> m_lastWriterHeartbeatAt;
     std::optional<HostId> m_linkedWriter;
+    WriterSuitability m_suitability;
     bool m_isStopping = false;
     bool m_isHandingOver = false;
     /** Last hand-over to a larger host. */
--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -229,7 +229,7 @@
 
 std::optional<RemainingLeases> JobWriter::remainingLeases() const
 {
-    return isActive() ? std::optional(m_controller->fleet().remainingLeases()) : std::nullopt;
+    return isActive() ? std::optional(fleet().remainingLeases()) : std::nullopt;
 }
 
 void JobWriter::finish(std::function<void()> then)
@@ -249,6 +249,11 @@
     return m_controller != nullptr && !m_isLost;
 }
 
+const WorkerFleet &JobWriter::fleet() const
+{
+    return m_controller->fleet();
+}
+
 Milliseconds JobWriter::commitAge() const
 {
     return m_log.commitAge();
--- a/src/libjobs/jobwriter.h
+++ b/src/libjobs/jobwriter.h
@@ -47,6 +47,8 @@
     void finish(std::function<void()> then);
     /** Whether the log is loaded and the shard not lost. */
     [[nodiscard]] bool isActive() const;
+    /** Precondition: isActive(). */
+    [[nodiscard]] const WorkerFleet &fleet() const;
     /** How long the commit in progress has been unanswered by the store. */
     [[nodiscard]] Milliseconds commitAge() const;
 
--- a/src/libjobs/workerfleet.cpp
+++ b/src/libjobs/workerfleet.cpp
@@ -83,6 +83,18 @@
     return leases;
 }
 
+std::size_t WorkerFleet::listedCount() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_links, [](const auto &entry) { return entry.second->isListed(); }));
+}
+
+std::size_t WorkerFleet::reachableCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_links, [](const auto &entry) { return entry.second->isListed() && entry.second->isReachable(); }));
+}
+
 WorkerLink *WorkerFleet::find(const WorkerId &worker)
 {
     const auto found = m_links.find(worker);
--- a/src/libjobs/workerfleet.h
+++ b/src/libjobs/workerfleet.h
@@ -41,6 +41,9 @@
     void limitInherited(TimePoint until);
     /** How long leases may be valid that were granted up to now. */
     [[nodiscard]] RemainingLeases remainingLeases() const;
+    /** Number of workers in the list, and how many of them answer. */
+    [[nodiscard]] std::size_t listedCount() const;
+    [[nodiscard]] std::size_t reachableCount() const;
     /** Null when unknown. */
     [[nodiscard]] WorkerLink *find(const WorkerId &worker);
     [[nodiscard]] const std::map<WorkerId, std::unique_ptr<WorkerLink>> &links() const;
--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -20,6 +20,8 @@
 constexpr Millicores wholeProcessor { 1000 };
 /** The largest host may be unable to claim, so the others don't wait longer than this for it. */
 constexpr Milliseconds maxClaimDelay { 600 };
+/** Longer than the other hosts need to claim. */
+constexpr Milliseconds reluctantDelay { 2000 };
 constexpr Milliseconds claimTimeout { 700 };
 constexpr Milliseconds renewTimeout { 400 };
 /** A host whose reads take longer would be no improvement on a stuck writer. */
@@ -190,7 +192,9 @@
     const std::int64_t missing = std::max<std::int64_t>(most - m_options.processors.value(), 0);
     const std::int64_t perProcessor =
         m_largestHostProcessors ? delayPerProcessorBelowLargestMs : delayPerProcessorBelowWholeMs;
-    return m_claimJitter + std::min(Milliseconds(missing * perProcessor / wholeProcessor.value()), maxClaimDelay);
+    const Milliseconds reluctance = m_isReluctant ? reluctantDelay : Milliseconds(0);
+    return reluctance + m_claimJitter
+        + std::min(Milliseconds(missing * perProcessor / wholeProcessor.value()), maxClaimDelay);
 }
 
 std::string_view WriterElection::reasonToClaim() const
@@ -353,6 +357,11 @@
     }
 }
 
+void WriterElection::setReluctant(bool isReluctant)
+{
+    m_isReluctant = isReluctant;
+}
+
 void WriterElection::keepAlive()
 {
     m_context.schedule(m_options.leaseTerm / 3, m_lifetime.guard([this, token = m_token] {
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -68,6 +68,9 @@
     /** While yielding, the writer lets hosts that receive no heartbeats from it claim the shard. */
     void setYielding(bool isYielding);
 
+    /** While reluctant, this host claims the shard only if no other host does. */
+    void setReluctant(bool isReluctant);
+
     [[nodiscard]] bool isWriter() const;
     /** The last known claim; nullopt before the first one. */
     [[nodiscard]] const std::optional<WriterClaim> &claim() const;
@@ -115,6 +118,7 @@
     bool m_isProbing = false;
     bool m_isRetired = false;
     bool m_isYielding = false;
+    bool m_isReluctant = false;
     /** Random part of the delay before a claim, which keeps hosts from claiming simultaneously. */
     Milliseconds m_claimJitter {};
     /** Nullopt until a writer's heartbeat has reported it. */
--- a/tests/libjobs/testtakeover.cpp
+++ b/tests/libjobs/testtakeover.cpp
@@ -375,7 +375,7 @@
     }
 }
 
-/** Nothing tells the writer whether its successor reaches the workers. */
+/** The successor finds out that it doesn't reach the workers, gives the shard back, and isn't chosen again. */
 BOOST_AUTO_TEST_CASE(shardStaysWithTheWriterThatReachesTheWorkers)
 {
     VirtualSite site(siteOfTwoSizes(1));
@@ -393,6 +393,29 @@
                "the writer is " << site.writer().value_or(HostId()).value() << ", no task starts for 20 s");
 }
 
+/** When no host reaches the workers, the shard doesn't go round and round. */
+BOOST_AUTO_TEST_CASE(shardIsNotHandedOnForEverWhileAllWorkersAreAway)
+{
+    VirtualSite site(siteOfTwoSizes(1));
+    site.run(startTime);
+    for (const WorkerId &worker : site.workers()) {
+        site.isolateWorker(worker, true);
+    }
+    Milliseconds withoutWriter {};
+    for (int step = 0; step < 2500; ++step) {
+        site.run(Milliseconds(10));
+        withoutWriter += Milliseconds(site.writers() == 0 ? 10 : 0);
+    }
+    BOOST_TEST(site.logCount(events::shardHandedOver) <= site.hosts().size());
+    BOOST_TEST(withoutWriter.count() < 500, withoutWriter.count() << " ms without a writer in 25 s");
+    for (const WorkerId &worker : site.workers()) {
+        site.isolateWorker(worker, false);
+    }
+    const JobSpec job = batchJob(1);
+    BOOST_TEST(site.submit(job));
+    BOOST_TEST(site.runUntil([&site] { return site.judge().starts() == 2; }, Milliseconds(5000)));
+}
+
 /** A host that has just started has had no time to hear the writer. */
 BOOST_AUTO_TEST_CASE(freshHostListensBeforeItClaimsOverAWriter)
 {
