--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -18,6 +18,7 @@
 inline constexpr std::string_view configurationInForce = "configuration_in_force";
 inline constexpr std::string_view configurationRefused = "configuration_refused";
 
+inline constexpr std::string_view messageRefused = "message_refused";
 inline constexpr std::string_view writerLost = "writer_lost";
 inline constexpr std::string_view writerRegained = "writer_regained";
 inline constexpr std::string_view writerChanged = "writer_changed";
--- a/src/libjobs/jobmessage.cpp
+++ b/src/libjobs/jobmessage.cpp
@@ -1,5 +1,7 @@
 #include "jobmessage.h"
 
+#include "binaryjson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace currantring {
@@ -10,6 +12,9 @@
 
 /** Message kinds on the wire; hosts of adjacent versions must agree on them. */
 enum MessageKind : int { HostHeartbeatKind = 1, WriterHeartbeatKind, OfferKind, CallKind, AnswerKind, HandOverKind };
+/** About 30 years; receivers add the times in messages to their clocks. */
+constexpr std::int64_t maxTimeMs = 1'000'000'000'000;
+
 enum CallKindNumber : int { SubmitKind = 1, ReadKind, CancelKind, CountKind };
 
 json encodeCall(const CallerCall &call)
@@ -86,7 +91,11 @@
 
 Milliseconds milliseconds(const json &source)
 {
-    return Milliseconds(source.get<std::int64_t>());
+    const auto value = source.get<std::int64_t>();
+    if (value < -maxTimeMs || value > maxTimeMs) {
+        throw json::other_error::create(501, "time out of range", nullptr);
+    }
+    return Milliseconds(value);
 }
 
 template<typename Enum>
@@ -183,7 +192,8 @@
 std::optional<JobMessage> decodeJobMessage(std::string_view bytes)
 {
     try {
-        return decodeMessage(json::from_cbor(bytes));
+        const std::optional<json> source = readBinaryJson(bytes, json::input_format_t::cbor);
+        return source ? std::optional(decodeMessage(*source)) : std::nullopt;
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/src/libjobs/jobrecord.cpp
+++ b/src/libjobs/jobrecord.cpp
@@ -1,5 +1,7 @@
 #include "jobrecord.h"
 
+#include "binaryjson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace currantring {
@@ -207,7 +209,11 @@
 std::optional<JobSlot> decodeJobSlot(std::string_view bytes)
 {
     try {
-        const json source = json::from_cbor(bytes);
+        const std::optional<json> document = readBinaryJson(bytes, json::input_format_t::cbor);
+        if (!document) {
+            return std::nullopt;
+        }
+        const json &source = *document;
         JobSlot slot { source.at(0).get<std::uint64_t>(), source.at(1).get<std::uint64_t>(), {} };
         for (const json &record : source.at(2)) {
             slot.records.push_back(decodeRecord(record));
--- a/src/libscheduler/peermessage.cpp
+++ b/src/libscheduler/peermessage.cpp
@@ -1,5 +1,6 @@
 #include "peermessage.h"
 
+#include "binaryjson.h"
 #include "jsonfield.h"
 
 #include <algorithm>
@@ -11,9 +12,6 @@
 
 using Json = nlohmann::json;
 
-/** Deepest nesting of a message; a moved task's record stays far below. */
-constexpr std::size_t maximumDepth = 64;
-
 constexpr std::string_view heartbeatName = "heartbeat";
 constexpr std::string_view forwardRequestName = "forward-request";
 constexpr std::string_view forwardReplyName = "forward-reply";
@@ -23,86 +21,6 @@
 constexpr std::string_view taskMoveName = "task-move";
 constexpr std::string_view taskMoveAckName = "task-move-ack";
 
-/**
- * Walks foreign MessagePack and builds nothing.
- *
- * The library's reader recurses for each level, so that the depth must be bounded before it may build values.
- */
-class ShapeCheck : public nlohmann::json_sax<Json>
-{
-public:
-    explicit ShapeCheck(std::size_t size)
-        : m_size(size)
-    {
-    }
-
-    bool null() override
-    {
-        return true;
-    }
-    bool boolean(bool /*value*/) override
-    {
-        return true;
-    }
-    bool number_integer(number_integer_t /*value*/) override // NOLINT(readability-identifier-naming)
-    {
-        return true;
-    }
-    bool number_unsigned(number_unsigned_t /*value*/) override // NOLINT(readability-identifier-naming)
-    {
-        return true;
-    }
-    bool number_float(number_float_t /*value*/,
-                      const string_t & /*text*/) override // NOLINT(readability-identifier-naming)
-    {
-        return true;
-    }
-    bool string(string_t & /*value*/) override
-    {
-        return true;
-    }
-    bool binary(binary_t & /*value*/) override
-    {
-        return true;
-    }
-    bool start_object(std::size_t elements) override // NOLINT(readability-identifier-naming)
-    {
-        return enter(elements);
-    }
-    bool key(string_t & /*value*/) override
-    {
-        return true;
-    }
-    bool end_object() override // NOLINT(readability-identifier-naming)
-    {
-        --m_depth;
-        return true;
-    }
-    bool start_array(std::size_t elements) override // NOLINT(readability-identifier-naming)
-    {
-        return enter(elements);
-    }
-    bool end_array() override // NOLINT(readability-identifier-naming)
-    {
-        --m_depth;
-        return true;
-    }
-    bool parse_error(std::size_t /*position*/, const std::string & /*token*/, // NOLINT(readability-identifier-naming)
-                     const Json::exception & /*error*/) override
-    {
-        return false;
-    }
-
-private:
-    bool enter(std::size_t elements)
-    {
-        return ++m_depth <= maximumDepth && elements <= m_size;
-    }
-
-    std::size_t m_size;
-    std::size_t m_depth = 0;
-};
-
 Json encodeClaims(const std::vector<ShardClaim> &claims)
 {
     Json list = Json::array();
@@ -304,11 +222,11 @@
 
 tl::expected<PeerMessage, PeerDecodeError> decodePeerMessage(std::string_view bytes)
 {
-    ShapeCheck check(bytes.size());
-    if (!Json::sax_parse(bytes.begin(), bytes.end(), &check, Json::input_format_t::msgpack)) {
+    const std::optional<Json> document = readBinaryJson(bytes, Json::input_format_t::msgpack);
+    if (!document) {
         return tl::unexpected(PeerDecodeError::NotEncoded);
     }
-    const Json json = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    const Json &json = *document;
     const auto kindName = json.is_object() ? json.find("k") : json.end();
     if (kindName == json.end() || !kindName->is_string()) {
         return tl::unexpected(PeerDecodeError::NotEncoded);
