Move the writer's liveness entry and the availability of steps out of large files

WriterElection and RunController had grown; the code moves as it is, less a time that was written and never read. All cases of libjobs pass as before.

--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -45,6 +45,7 @@
                 [this](const WorkerId &worker) {
                     return linkHandlers(worker);
                 } })
+    , m_availability(m_log, m_fleet)
     , m_knowledge(m_options.layout, m_options.token, context, m_neighbours)
     , m_interference(m_neighbours)
     , m_pacer(m_neighbours)
@@ -100,9 +101,9 @@
 RunMonitor::Sources RunController::monitorSources()
 {
     return { [this](const LiveRun &run) { return m_starter.requestFor(run.ref.task, *run.step, run.queue); },
-             [this](const LiveRun &run) { return unavailableSiblings(run); },
+             [this](const LiveRun &run) { return m_availability.unavailableSiblings(run); },
              [this](const LiveRun &run, TimePoint time) {
-                 return siblingsLeavingBefore(run, time);
+                 return m_availability.siblingsLeavingBefore(run, time);
              } };
 }
 
@@ -468,43 +469,6 @@
     m_starter.open(run.ref.task, *job);
 }
 
-/** The worker on which the task is ready; null when the task isn't. */
-const WorkerLink *RunController::readyOn(const TaskRef &task)
-{
-    const Job *const job = m_log.table().find(task.step.job);
-    const Task *const state = job == nullptr ? nullptr : job->task(task);
-    if (state == nullptr || state->runs.empty()) {
-        return nullptr;
-    }
-    const WorkerLink *const link = m_fleet.find(state->runs.front().worker);
-    if (link == nullptr) {
-        return nullptr;
-    }
-    const auto run = link->runs().find(RunRef { task, state->runs.front().number });
-    const bool isReady =
-        run != link->runs().end() && run->second.phase == RunPhase::Running && run->second.percent == 100;
-    return isReady ? link : nullptr;
-}
-
-std::uint32_t RunController::unavailableSiblings(const LiveRun &run)
-{
-    std::uint32_t unavailable = 0;
-    for (std::uint32_t index = 0; index < run.step->count; ++index) {
-        unavailable += readyOn({ run.ref.task.step, index }) == nullptr ? 1 : 0;
-    }
-    return unavailable;
-}
-
-std::uint32_t RunController::siblingsLeavingBefore(const LiveRun &run, TimePoint time)
-{
-    std::uint32_t leaving = 0;
-    for (std::uint32_t index = 0; index < run.step->count; ++index) {
-        const WorkerLink *const link = readyOn({ run.ref.task.step, index });
-        leaving += link != nullptr && link->leavesAt() && *link->leavesAt() < time ? 1 : 0;
-    }
-    return leaving;
-}
-
 void RunController::sweep()
 {
     m_neighbours.expireLoads(m_context.now());
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -9,6 +9,7 @@
 #include "runplacer.h"
 #include "runstarter.h"
 #include "siteconfiguration.h"
+#include "stepavailability.h"
 #include "workerfleet.h"
 
 #include <functional>
@@ -83,9 +84,6 @@
     void moveRuns(WorkerLink &link);
     void copyRun(const LiveRun &run, std::string_view reason);
     void sweep();
-    [[nodiscard]] std::uint32_t unavailableSiblings(const LiveRun &run);
-    [[nodiscard]] std::uint32_t siblingsLeavingBefore(const LiveRun &run, TimePoint time);
-    [[nodiscard]] const WorkerLink *readyOn(const TaskRef &task);
     void stopRun(const RunRef &run, const WorkerId &worker);
     void observeClose(const JobId &id, JobPhase phase);
     void close(const JobId &job, JobPhase phase);
@@ -98,6 +96,7 @@
     Lifetime m_lifetime;
     QueueRegistry m_queues;
     WorkerFleet m_fleet;
+    StepAvailability m_availability;
     NeighbourModel m_neighbours;
     KnowledgeStore m_knowledge;
     WorkerHealth m_health;
--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -23,7 +23,6 @@
 /** Longer than the other hosts need to claim. */
 constexpr Milliseconds reluctantDelay { 2000 };
 constexpr Milliseconds claimTimeout { 700 };
-constexpr Milliseconds renewTimeout { 400 };
 /** A host whose reads take longer would be no improvement on a stuck writer. */
 constexpr Milliseconds probeTimeout { 250 };
 /** A writer that is stuck for this time while this host reaches the store is replaced. */
@@ -32,8 +31,6 @@
 constexpr Milliseconds longWatchWait { 4000 };
 constexpr Milliseconds shortWatchWait { 1500 };
 constexpr Milliseconds settleRetryDelay { 1000 };
-const std::string aliveValue = "alive";
-const std::string yieldingValue = "yielding";
 
 } // namespace
 
@@ -45,6 +42,7 @@
     , m_watch(m_layout.writerPrefix(), context, { [this](const KvEntry &entry) {
                   applyEntry(entry);
               } })
+    , m_liveness(m_layout, m_options.leaseTerm, context, [this](const KvEntry &entry) { applyEntry(entry); })
     , m_leases(m_options.self, m_options.nonce, m_options.workerLeases, m_options.longestWorkerLease, context.now())
 {
     m_watch.setWait(shortWatchWait);
@@ -66,11 +64,7 @@
     } else if (entry.key == m_layout.aliveKey()) {
         if (entry.isDeleted) {
             m_alive.reset();
-            m_aliveGoneAt = m_context.now();
-            if (isWriter()) {
-                m_lease.reset();
-                grantAlive();
-            }
+            m_liveness.restore();
         } else {
             m_alive = entry.value;
         }
@@ -96,7 +90,7 @@
                   { { "writer", m_claim->host.value() }, { "token", std::to_string(m_claim->token.value()) } });
     if (isWriter() && m_claim->token != *m_token) {
         m_token.reset();
-        m_lease.reset();
+        m_liveness.stop();
         m_handlers.onSuperseded();
     }
     if (m_claim->nonce == m_options.nonce) {
@@ -121,7 +115,7 @@
                     { "inherited_ms", std::to_string((inherited.elsewhere - m_context.now()).count()) },
                     { "listed", std::to_string(inherited.listed.size()) } });
     m_handlers.onClaimed(*m_token, inherited);
-    keepAlive();
+    m_liveness.start(*m_token);
     scheduleSettled(inherited.latest() - m_context.now());
 }
 
@@ -217,7 +211,7 @@
     if (!m_alive) {
         return "lease-over";
     }
-    return *m_alive == yieldingValue ? "writer-yields" : "";
+    return *m_alive == WriterLiveness::yielding ? "writer-yields" : "";
 }
 
 bool WriterElection::hasRecentHeartbeat() const
@@ -243,7 +237,7 @@
 /** Claims the shard over the claim @p replaced; a newer claim had no part in the decision, so it must stay. */
 void WriterElection::writeClaim(LeaseId lease, StoreRevision replaced)
 {
-    m_lease = lease;
+    m_liveness.setLease(lease);
     const std::string claim = encodeClaim({ {},
                                             m_options.self,
                                             m_options.address,
@@ -252,7 +246,8 @@
                                             m_leases.termsFor(replaced, m_context.now()) });
     KvCommit commit;
     commit.conditions = { { m_layout.claimKey(), replaced } };
-    commit.puts = { { m_layout.claimKey(), claim, std::nullopt }, { m_layout.aliveKey(), aliveValue, lease } };
+    commit.puts = { { m_layout.claimKey(), claim, std::nullopt },
+                    { m_layout.aliveKey(), std::string(WriterLiveness::alive), lease } };
     m_context.callStore(std::move(commit), claimTimeout,
                         m_lifetime.guard([this, claim](const KvResult &result) { handleClaim(result, claim); }));
 }
@@ -261,7 +256,7 @@
 {
     m_isClaiming = false;
     if (result) {
-        applyEntry({ m_layout.aliveKey(), aliveValue, result->revision, false });
+        applyEntry({ m_layout.aliveKey(), std::string(WriterLiveness::alive), result->revision, false });
         applyClaim({ m_layout.claimKey(), claim, result->revision, false });
         return;
     }
@@ -339,22 +334,14 @@
         m_leases.noteClaim(*m_claim, m_context.now());
     }
     m_token.reset();
-    m_isYielding = false;
     // Leaves the next writer time to claim.
     m_lastHeartbeatAt = m_context.now();
-    if (m_lease) {
-        m_context.callStore(KvEndLease { *m_lease }, renewTimeout, [](const KvResult & /*result*/) {
-            // The lease expires by itself if the request is lost.
-        });
-        m_lease.reset();
-    }
+    m_liveness.end();
 }
 
 void WriterElection::setYielding(bool isYielding)
 {
-    if (isWriter() && std::exchange(m_isYielding, isYielding) != isYielding) {
-        writeAlive();
-    }
+    m_liveness.setYielding(isYielding);
 }
 
 void WriterElection::setReluctant(bool isReluctant)
@@ -362,55 +349,6 @@
     m_isReluctant = isReluctant;
 }
 
-void WriterElection::keepAlive()
-{
-    m_context.schedule(m_options.leaseTerm / 3, m_lifetime.guard([this, token = m_token] {
-        if (!isWriter() || m_token != token) {
-            return;
-        }
-        if (m_lease) {
-            m_context.callStore(KvRenewLease { *m_lease }, renewTimeout,
-                                m_lifetime.guard([this](const KvResult &result) {
-                                    if (!result && result.error().kind == KvErrorKind::LeaseGone && isWriter()) {
-                                        m_lease.reset();
-                                        grantAlive();
-                                    }
-                                }));
-        } else {
-            grantAlive();
-        }
-        keepAlive();
-    }));
-}
-
-void WriterElection::grantAlive()
-{
-    m_context.callStore(KvGrantLease { m_options.leaseTerm }, renewTimeout,
-                        m_lifetime.guard([this](const KvResult &result) {
-                            if (result && isWriter()) {
-                                m_lease = result->lease;
-                                writeAlive();
-                            }
-                        }));
-}
-
-void WriterElection::writeAlive()
-{
-    if (!m_lease) {
-        return;
-    }
-    KvCommit commit;
-    commit.conditions = { { m_layout.claimKey(), StoreRevision(m_token->value()) } };
-    commit.puts = { { m_layout.aliveKey(), m_isYielding ? yieldingValue : aliveValue, m_lease } };
-    m_context.callStore(std::move(commit), renewTimeout, m_lifetime.guard([this](const KvResult &result) {
-        if (!result && result.error().kind == KvErrorKind::Conflict) {
-            for (const KvEntry &entry : result.error().entries) {
-                applyEntry(entry);
-            }
-        }
-    }));
-}
-
 bool WriterElection::isWriter() const
 {
     return m_token.has_value();
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -6,6 +6,7 @@
 #include "lifetime.h"
 #include "prefixwatch.h"
 #include "storelayout.h"
+#include "writerliveness.h"
 
 #include <functional>
 #include <optional>
@@ -91,9 +92,6 @@
     void handleClaim(const KvResult &result, const std::string &claim);
     void readClaim();
     void probe();
-    void keepAlive();
-    void writeAlive();
-    void grantAlive();
 
     StoreLayout m_layout;
     Options m_options;
@@ -101,23 +99,20 @@
     Handlers m_handlers;
     Lifetime m_lifetime;
     PrefixWatch m_watch;
+    WriterLiveness m_liveness;
     std::optional<WriterClaim> m_claim;
     LeaseSuccession m_leases;
     StoreRevision m_claimRevision;
     /** Value of the writer's liveness entry; nullopt when the entry is absent. */
     std::optional<std::string> m_alive;
-    /** When the deletion of the liveness entry was seen; meaningful only while m_alive is empty. */
-    TimePoint m_aliveGoneAt {};
     std::optional<TimePoint> m_lastHeartbeatAt;
     /** Since when this host's reads of the store succeed while the writer reports itself as stuck. */
     std::optional<TimePoint> m_readableSince;
     /** Fencing token of this host while it is the writer. */
     std::optional<WriterToken> m_token;
-    std::optional<LeaseId> m_lease;
     bool m_isClaiming = false;
     bool m_isProbing = false;
     bool m_isRetired = false;
-    bool m_isYielding = false;
     bool m_isReluctant = false;
     /** Random part of the delay before a claim, which keeps hosts from claiming simultaneously. */
     Milliseconds m_claimJitter {};
