--- a/tests/libjobs/testlasting.cpp
+++ b/tests/libjobs/testlasting.cpp
@@ -53,7 +53,7 @@
 {
     site.run(startTime);
     BOOST_REQUIRE(site.submit(job));
-    const std::vector<TaskRef> tasks = tasksOf(job);
+    std::vector<TaskRef> tasks = tasksOf(job);
     BOOST_REQUIRE(
         site.runUntil([&site, &tasks] { return countRunning(site, tasks) == tasks.size(); }, Milliseconds(3000)));
     site.run(Milliseconds(2000));
