--- a/tests/libjobs/testlasting.cpp
+++ b/tests/libjobs/testlasting.cpp
@@ -160,6 +160,28 @@
     }
 }
 
+/** The former writer names what is left of the silent worker's lease; the worker runs on until that is over. */
+BOOST_AUTO_TEST_CASE(runOnceWhenTheirWorkerWasCutOffBeforeAHandOver)
+{
+    for (Milliseconds before(500); before <= Milliseconds(4000); before += Milliseconds(500)) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            VirtualSite site({ .seed = seed });
+            const std::vector<TaskRef> tasks = startLastingJob(site, lastingJob(seed, 4));
+            const WorkerId worker = busiestWorker(site, tasks);
+            site.isolateWorker(worker, true);
+            site.run(before);
+            site.stopHost(site.writer().value());
+            site.run(Milliseconds(10'000));
+            BOOST_TEST(countRunning(site, tasks) == tasks.size());
+            site.isolateWorker(worker, false);
+            site.run(Milliseconds(2000));
+            for (const std::string &violation : site.judge().violations()) {
+                BOOST_ERROR("seed " << seed << " cut off for " << before.count() << " ms: " << violation);
+            }
+        }
+    }
+}
+
 /** A writer that was paused goes on to extend leases with a permission that has run out. */
 BOOST_AUTO_TEST_CASE(runOnceWhenAPausedWriterWakes)
 {
