--- a/tests/libjobs/testlasting.cpp
+++ b/tests/libjobs/testlasting.cpp
@@ -74,6 +74,28 @@
     return site.hosts().front() == host ? site.hosts().back() : site.hosts().front();
 }
 
+/**
+ * Cuts the writer, which then is the only one to reach @p worker, from the store and the other hosts; returns the host
+ * that replaces it. The former writer goes on to extend the worker's lease for a while.
+ */
+HostId replaceWriterThatReachesAlone(VirtualSite &site, const WorkerId &worker)
+{
+    const HostId first = site.writer().value();
+    for (const HostId &host : site.hosts()) {
+        site.partitionWorker(host, worker, host != first);
+        site.partitionHosts(host, first, host != first);
+    }
+    site.setStoreFault(first, StoreFault::Silent);
+    const auto successor = [&site, &first] {
+        const std::vector<HostId> hosts = site.hosts();
+        const auto found = std::ranges::find_if(
+            hosts, [&site, &first](const HostId &host) { return host != first && site.isWriter(host); });
+        return found == hosts.end() ? std::optional<HostId>() : *found;
+    };
+    BOOST_REQUIRE(site.runUntil([&successor] { return successor().has_value(); }, Milliseconds(5000)));
+    return *successor();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(LastingTasks)
@@ -182,6 +204,43 @@
     }
 }
 
+/** The second writer knows that leases of the first may last; the third one has to know it too. */
+BOOST_AUTO_TEST_CASE(runOnceWhenTwoWritersFailInARow)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VirtualSite site({ .seed = seed });
+        const std::vector<TaskRef> tasks = startLastingJob(site, lastingJob(seed, 4));
+        const HostId second = replaceWriterThatReachesAlone(site, busiestWorker(site, tasks));
+        site.killHost(second);
+        site.run(Milliseconds(50));
+        site.restartHost(second);
+        site.run(Milliseconds(14'000));
+        for (const std::string &violation : site.judge().violations()) {
+            BOOST_ERROR("seed " << seed << ": " << violation);
+        }
+    }
+}
+
+/** A heartbeat that an earlier process sent to an earlier writer says nothing about the former writer. */
+BOOST_AUTO_TEST_CASE(runOnceWhenAnOldHeartbeatArrives)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VirtualSite site({ .seed = seed });
+        const std::vector<TaskRef> tasks = startLastingJob(site, lastingJob(seed, 4));
+        const HostId first = site.writer().value();
+        const HostId second = replaceWriterThatReachesAlone(site, busiestWorker(site, tasks));
+        HostHeartbeat old;
+        old.uptime = Milliseconds(30'000);
+        old.nonce = 1'000'000;
+        old.writer = WriterToken(1);
+        site.deliverMessage(second, first, old);
+        site.run(Milliseconds(14'000));
+        for (const std::string &violation : site.judge().violations()) {
+            BOOST_ERROR("seed " << seed << ": " << violation);
+        }
+    }
+}
+
 /** A writer that was paused goes on to extend leases with a permission that has run out. */
 BOOST_AUTO_TEST_CASE(runOnceWhenAPausedWriterWakes)
 {
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -113,6 +113,8 @@
     /** The worker announces that it leaves, after at least @p remaining. */
     void drainWorker(const WorkerId &worker, Milliseconds remaining = Milliseconds(0));
     void configure(const SiteConfiguration &configuration);
+    /** Delivers a message of @p from that was held back, possibly beyond the end of its sender. */
+    void deliverMessage(const HostId &to, const HostId &from, const JobMessage &message);
 
     // State.
 
--- a/tests/libjobs/virtualsitefaults.cpp
+++ b/tests/libjobs/virtualsitefaults.cpp
@@ -215,6 +215,12 @@
     listWorker(worker, true);
 }
 
+void VirtualSite::deliverMessage(const HostId &to, const HostId &from, const JobMessage &message)
+{
+    Host &receiver = find(to);
+    deliver(receiver, receiver.process, [&receiver, from, message] { receiver.node->handlePeer(from, message); });
+}
+
 void VirtualSite::configure(const SiteConfiguration &configuration)
 {
     m_configuration = configuration;
