--- a/tests/libjobs/testtakeover.cpp
+++ b/tests/libjobs/testtakeover.cpp
@@ -391,6 +391,9 @@
     BOOST_TEST(site.submit(job));
     BOOST_TEST(site.runUntil([&site] { return site.judge().starts() == 2; }, Milliseconds(20'000)),
                "the writer is " << site.writer().value_or(HostId()).value() << ", no task starts for 20 s");
+    // To the larger host and back; it isn't chosen again while it declines the shard.
+    site.run(Milliseconds(10'000));
+    BOOST_TEST(site.logCount(events::shardHandedOver) == 2U);
 }
 
 /** When no host reaches the workers, the shard doesn't go round and round. */
