Refuse fractions where hosts write integers

Cause: the JSON library converts a fraction to an integer without a check of its range, which is undefined for large ones; the address and undefined-behaviour run of damagedInputEndsNoReader showed it for a damaged lesson (1e+21). Change: messages, slots, claims and lessons accept integers only.

--- a/src/libcurrantring/binaryjson.cpp
+++ b/src/libcurrantring/binaryjson.cpp
@@ -17,8 +17,9 @@
 class ShapeCheck : public nlohmann::json_sax<Json>
 {
 public:
-    explicit ShapeCheck(std::size_t size)
+    ShapeCheck(std::size_t size, BinaryNumbers numbers)
         : m_size(size)
+        , m_numbers(numbers)
     {
     }
 
@@ -41,7 +42,7 @@
     bool number_float(number_float_t /*value*/,
                       const string_t & /*text*/) override // NOLINT(readability-identifier-naming)
     {
-        return true;
+        return m_numbers == BinaryNumbers::Any;
     }
     bool string(string_t & /*value*/) override
     {
@@ -86,14 +87,15 @@
     }
 
     std::size_t m_size;
+    BinaryNumbers m_numbers;
     std::size_t m_depth = 0;
 };
 
 } // namespace
 
-std::optional<Json> readBinaryJson(std::string_view bytes, Json::input_format_t format)
+std::optional<Json> readBinaryJson(std::string_view bytes, Json::input_format_t format, BinaryNumbers numbers)
 {
-    ShapeCheck check(bytes.size());
+    ShapeCheck check(bytes.size(), numbers);
     if (!Json::sax_parse(bytes.begin(), bytes.end(), &check, format)) {
         return std::nullopt;
     }
--- a/src/libjobs/jobmessage.cpp
+++ b/src/libjobs/jobmessage.cpp
@@ -192,7 +192,7 @@
 std::optional<JobMessage> decodeJobMessage(std::string_view bytes)
 {
     try {
-        const std::optional<json> source = readBinaryJson(bytes, json::input_format_t::cbor);
+        const std::optional<json> source = readBinaryJson(bytes, json::input_format_t::cbor, BinaryNumbers::Integers);
         return source ? std::optional(decodeMessage(*source)) : std::nullopt;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/src/libjobs/jobrecord.cpp
+++ b/src/libjobs/jobrecord.cpp
@@ -209,7 +209,7 @@
 std::optional<JobSlot> decodeJobSlot(std::string_view bytes)
 {
     try {
-        const std::optional<json> document = readBinaryJson(bytes, json::input_format_t::cbor);
+        const std::optional<json> document = readBinaryJson(bytes, json::input_format_t::cbor, BinaryNumbers::Integers);
         if (!document) {
             return std::nullopt;
         }
--- a/src/libjobs/neighbourknowledge.cpp
+++ b/src/libjobs/neighbourknowledge.cpp
@@ -20,7 +20,7 @@
 
 double fromStored(const json &value)
 {
-    return static_cast<double>(value.get<std::int64_t>()) / unitsPerOne;
+    return static_cast<double>(value.get_ref<const json::number_integer_t &>()) / unitsPerOne;
 }
 
 } // namespace
--- a/src/libjobs/writerclaim.cpp
+++ b/src/libjobs/writerclaim.cpp
@@ -23,6 +23,12 @@
     return term.count() >= 0 && term <= maxTerm ? std::optional(term) : std::nullopt;
 }
 
+StoreRevision decodeReplaced(const json &source)
+{
+    const auto field = source.find("replaced");
+    return StoreRevision(field != source.end() && field->is_number_unsigned() ? field->get<std::uint64_t>() : 0);
+}
+
 std::optional<LeaseTerms> decodeLeases(const json &source)
 {
     const std::optional<Milliseconds> lease = decodeTerm(source, "lease_ms");
@@ -64,8 +70,8 @@
         return WriterClaim { WriterToken(entry.revision.value()),
                              HostId(source.at("host").get<std::string>()),
                              Address(source.at("address").get<std::string>()),
-                             source.at("nonce").get<std::uint64_t>(),
-                             StoreRevision(source.value("replaced", std::uint64_t { 0 })),
+                             source.at("nonce").get_ref<const json::number_unsigned_t &>(),
+                             decodeReplaced(source),
                              decodeLeases(source) };
     } catch (const json::exception &) {
         return std::nullopt;
--- a/src/libscheduler/peermessage.cpp
+++ b/src/libscheduler/peermessage.cpp
@@ -222,7 +222,7 @@
 
 tl::expected<PeerMessage, PeerDecodeError> decodePeerMessage(std::string_view bytes)
 {
-    const std::optional<Json> document = readBinaryJson(bytes, Json::input_format_t::msgpack);
+    const std::optional<Json> document = readBinaryJson(bytes, Json::input_format_t::msgpack, BinaryNumbers::Any);
     if (!document) {
         return tl::unexpected(PeerDecodeError::NotEncoded);
     }
