Repeat the note of settled leases for the claim that it was made for

Found by reading the whole change: when the note failed and this host had claimed the shard again meanwhile, the repeat took the newer claim's token and would have noted that claim's inherited leases as over too early. Not shown by a test; the cases of takeovers and lasting tasks pass.

--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -116,22 +116,22 @@
                     { "listed", std::to_string(inherited.listed.size()) } });
     m_handlers.onClaimed(*m_token, inherited);
     m_liveness.start(*m_token);
-    scheduleSettled(inherited.latest() - m_context.now());
+    scheduleSettled(*m_token, inherited.latest() - m_context.now());
 }
 
 /** Notes in the store that the inherited leases are over, so that a later writer needn't wait for them. */
-void WriterElection::scheduleSettled(Milliseconds delay)
+void WriterElection::scheduleSettled(WriterToken token, Milliseconds delay)
 {
-    m_context.schedule(delay, m_lifetime.guard([this, token = m_token] {
-        if (!isWriter() || m_token != token) {
+    m_context.schedule(delay, m_lifetime.guard([this, token] {
+        if (m_token != token) {
             return;
         }
         KvCommit commit;
-        commit.conditions = { { m_layout.claimKey(), StoreRevision(token->value()) } };
-        commit.puts = { { m_layout.settledKey(), std::to_string(token->value()), std::nullopt } };
-        m_context.callStore(std::move(commit), claimTimeout, m_lifetime.guard([this](const KvResult &result) {
+        commit.conditions = { { m_layout.claimKey(), StoreRevision(token.value()) } };
+        commit.puts = { { m_layout.settledKey(), std::to_string(token.value()), std::nullopt } };
+        m_context.callStore(std::move(commit), claimTimeout, m_lifetime.guard([this, token](const KvResult &result) {
             if (!result && result.error().kind != KvErrorKind::Conflict) {
-                scheduleSettled(settleRetryDelay);
+                scheduleSettled(token, settleRetryDelay);
             }
         }));
     }));
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -82,7 +82,7 @@
     void applyEntry(const KvEntry &entry);
     void applyClaim(const KvEntry &entry);
     void applyOwnClaim();
-    void scheduleSettled(Milliseconds delay);
+    void scheduleSettled(WriterToken token, Milliseconds delay);
     void checkWriter();
     [[nodiscard]] Milliseconds claimDelay() const;
     [[nodiscard]] std::string_view reasonToClaim() const;
