Start tasks only over connections to a worker's known life

Cause: a worker that had restarted unseen took a start that names a time on its former clock, and gave it the longest lease, 6 s. The writer counted 4.5 s from its last answered poll, and started the tasks elsewhere. Ruled out: waiting 6 s after each start. It keeps tasks of lost workers away longer, and orders may be carried out later than any such wait.

Change: starts go over connections that were established before the last answered poll was sent; these lead to the life that answered or to none. Where there is none, a poll over a connection for orders comes first. Connections to former lives are closed. In the tests, orders go over connections that end with a worker's life, and a restarted worker's clock begins at zero, as on the platform.

--- a/src/libjobs/jobcontext.cpp
+++ b/src/libjobs/jobcontext.cpp
@@ -68,10 +68,10 @@
     }
 }
 
-void JobContext::callWorker(const WorkerId &worker, const Address &address, WorkerOrder order, Milliseconds timeout,
+void JobContext::callWorker(const WorkerTarget &target, WorkerOrder order, Milliseconds timeout,
                             JobDriver::WorkerHandler then)
 {
-    m_driver.callWorker(worker, address, std::move(order), timeout, withCurrentTime(std::move(then)));
+    m_driver.callWorker(target, std::move(order), timeout, withCurrentTime(std::move(then)));
 }
 
 void JobContext::askAdmission(const StepRef &step, const std::vector<WorkerId> &workers, Milliseconds timeout,
--- a/src/libjobs/jobcontext.h
+++ b/src/libjobs/jobcontext.h
@@ -41,8 +41,7 @@
     std::function<JobTime()> readTime;
     /** Each handler runs once, after the call that received it has returned. */
     std::function<void(KvRequest request, Milliseconds timeout, KvHandler then)> callStore;
-    std::function<void(const WorkerId &worker, const Address &address, WorkerOrder order, Milliseconds timeout,
-                       WorkerHandler then)>
+    std::function<void(const WorkerTarget &target, WorkerOrder order, Milliseconds timeout, WorkerHandler then)>
         callWorker;
     /** Queries which of the workers may run a step whose queue requires admission. */
     std::function<void(const StepRef &step, const std::vector<WorkerId> &workers, Milliseconds timeout,
@@ -79,8 +78,7 @@
     [[nodiscard]] WallTime wallNow() const;
     Random &random();
     void callStore(KvRequest request, Milliseconds timeout, JobDriver::KvHandler then);
-    void callWorker(const WorkerId &worker, const Address &address, WorkerOrder order, Milliseconds timeout,
-                    JobDriver::WorkerHandler then);
+    void callWorker(const WorkerTarget &target, WorkerOrder order, Milliseconds timeout, JobDriver::WorkerHandler then);
     void askAdmission(const StepRef &step, const std::vector<WorkerId> &workers, Milliseconds timeout,
                       JobDriver::AdmissionHandler then);
     void sendPeer(const HostId &to, const JobMessage &message);
--- a/src/libjobs/jobids.h
+++ b/src/libjobs/jobids.h
@@ -23,5 +23,7 @@
 using EndNumber = Strong<std::uint64_t, struct EndNumberTag>;
 /** Identifies one connection to a worker; never reused for a later connection. */
 using WorkerChannel = Strong<std::uint64_t, struct WorkerChannelTag>;
+/** Counts the connections to workers that this process has established, in the order in which they were. */
+using ChannelMark = Strong<std::uint64_t, struct ChannelMarkTag>;
 
 } // namespace currantring
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -32,6 +32,7 @@
     , m_handlers(std::move(handlers))
     , m_life(m_entry.life)
     , m_lease(timing.longestLease, inheritedUntil)
+    , m_target { m_entry.id, m_entry.address, {}, {} }
 {
     noteChange();
     updateDeparture();
@@ -48,6 +49,7 @@
         noteChange();
     }
     m_entry = std::move(entry);
+    m_target.address = m_entry.address;
     setListed(true);
     updateDeparture();
 }
@@ -136,8 +138,80 @@
     live.phase = RunPhase::Starting;
     live.startBy = WorkerTime(m_lease.clockAt(m_context.now()).value() + startWindow.count());
     m_lease.noteGrant(live.startBy);
-    sendOrder(StartOrder { m_token, run, std::move(payload), resumeFrom, live.startBy, std::move(ticket) },
-              m_lifetime.guard([this, run](const WorkerResult &result) { handleStart(run, result); }));
+    sendStart(std::make_shared<const StartOrder>(
+                  StartOrder { m_token, run, std::move(payload), resumeFrom, live.startBy, std::move(ticket) }),
+              IfNotSent::Hold);
+}
+
+void WorkerLink::sendStart(const std::shared_ptr<const StartOrder> &order, IfNotSent then)
+{
+    sendOrder(*order, m_lifetime.guard([this, order, then](const WorkerResult &result) {
+        const bool isUnsent = !result && result.error().failure == WorkerFailure::NotSent;
+        if (isUnsent && then == IfNotSent::Hold && isStarting(order->run)) {
+            holdStart(order);
+        } else {
+            handleStart(order->run, result);
+        }
+    }));
+}
+
+bool WorkerLink::isStarting(const RunRef &run) const
+{
+    const auto place = m_runs.find(run);
+    return place != m_runs.end() && place->second.phase == RunPhase::Starting;
+}
+
+void WorkerLink::holdStart(const std::shared_ptr<const StartOrder> &order)
+{
+    m_context.log(LogLevel::Debug, events::startHeld,
+                  { { "task", describe(order->run.task) },
+                    { "run", std::to_string(order->run.number.value()) },
+                    { "worker", m_entry.id.value() } });
+    m_heldStarts.push_back(order);
+    if (m_heldStarts.size() == 1) {
+        identifyChannel();
+    }
+}
+
+/** Polls over a connection for orders, without a lease: the answer tells to which life such connections lead. */
+void WorkerLink::identifyChannel()
+{
+    PollOrder order;
+    order.token = m_token;
+    order.isOverOrderChannel = true;
+    sendOrder(order, m_lifetime.guard([this](const WorkerResult &result) { handleIdentity(result); }));
+}
+
+void WorkerLink::handleIdentity(const WorkerResult &result)
+{
+    const auto held = std::exchange(m_heldStarts, {});
+    if (!result && result.error().failure == WorkerFailure::Fenced) {
+        m_handlers.onFenced();
+        return;
+    }
+    const bool isKnownLife = result && result->life == m_life;
+    if (isKnownLife) {
+        m_target.knownLife = std::max(m_target.knownLife, result->establishedBefore);
+    }
+    for (const auto &order : held) {
+        if (isKnownLife && isStarting(order->run)) {
+            sendStart(order, IfNotSent::Refuse);
+        } else {
+            refuseStart(order->run, WorkerFailure::NotSent);
+        }
+    }
+    if (result && !isKnownLife) {
+        // The poll that waits reaches the former life or none.
+        m_channel.reset();
+        poll(Milliseconds(0));
+    }
+}
+
+void WorkerLink::refuseStart(const RunRef &run, WorkerFailure failure)
+{
+    if (const auto place = m_runs.find(run); place != m_runs.end()) {
+        m_handlers.onRefused(removeRun(place), failure);
+    }
 }
 
 void WorkerLink::handleStart(const RunRef &run, const WorkerResult &result)
@@ -172,7 +246,7 @@
         m_handlers.onFenced();
         return;
     }
-    m_handlers.onRefused(removeRun(place), failure);
+    refuseStart(run, failure);
 }
 
 void WorkerLink::stop(const RunRef &run)
@@ -240,7 +314,12 @@
 
 void WorkerLink::sendOrder(WorkerOrder order, JobDriver::WorkerHandler then)
 {
-    m_context.callWorker(m_entry.id, m_entry.address, std::move(order), orderTimeout, std::move(then));
+    callWorker(std::move(order), orderTimeout, std::move(then));
+}
+
+void WorkerLink::callWorker(WorkerOrder order, Milliseconds timeout, JobDriver::WorkerHandler then)
+{
+    m_context.callWorker(m_target, std::move(order), timeout, std::move(then));
 }
 
 Milliseconds WorkerLink::pollWait() const
@@ -267,13 +346,12 @@
         m_lease.noteGrant(*pollOrder.leaseUntil);
     }
     ++m_round;
-    m_context.callWorker(
-        m_entry.id, m_entry.address, pollOrder, wait + pollTimeoutMargin,
-        m_lifetime.guard([this, round = m_round, sentAt = m_context.now()](const WorkerResult &result) {
-            if (round == m_round) {
-                handlePoll(sentAt, result);
-            }
-        }));
+    callWorker(pollOrder, wait + pollTimeoutMargin,
+               m_lifetime.guard([this, round = m_round, sentAt = m_context.now()](const WorkerResult &result) {
+                   if (round == m_round) {
+                       handlePoll(sentAt, result);
+                   }
+               }));
 }
 
 void WorkerLink::handlePoll(TimePoint sentAt, const WorkerResult &result)
@@ -293,8 +371,12 @@
         m_context.log(LogLevel::Info, events::workerNewLife,
                       { { "worker", m_entry.id.value() }, { "life", std::to_string(answer.life->value()) } });
         m_life = *answer.life;
+        m_target.formerLives = m_target.knownLife;
         m_lease.noteRestart();
     }
+    if (answer.life) {
+        m_target.knownLife = std::max(m_target.knownLife, answer.establishedBefore);
+    }
     m_lease.noteAnswer(answer.clock, m_context.now());
     if (m_channel != answer.channel) {
         m_channel = answer.channel;
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -39,8 +39,11 @@
  * The writer's connection to one worker: polls it to renew its lease, sends orders, and tracks the runs placed on it.
  *
  * A run keeps its resources reserved until the worker reports its end or until it provably can't be running: either the
- * worker omits it from the answer to a poll sent after its start was settled, or the worker's lease has expired. Thread
- * safety: one thread at a time.
+ * worker omits it from the answer to a poll sent after its start was settled, or the worker's lease has expired.
+ *
+ * A worker that restarts under its id counts its clock anew, so that it would take the time in an order as the longest
+ * lease there is. Orders with a time therefore go over connections that lead to the known life of the worker, or to
+ * none. Thread safety: one thread at a time.
  */
 class WorkerLink
 {
@@ -131,12 +134,21 @@
     void handlePollFailure(WorkerFailure failure);
     void checkLeaseExpiry();
     void scheduleLeaseExpiry();
+    /** What becomes of a start order that couldn't be sent. */
+    enum class IfNotSent { Hold, Refuse };
+    void sendStart(const std::shared_ptr<const StartOrder> &order, IfNotSent then);
+    void holdStart(const std::shared_ptr<const StartOrder> &order);
+    void identifyChannel();
+    void handleIdentity(const WorkerResult &result);
+    void refuseStart(const RunRef &run, WorkerFailure failure);
+    [[nodiscard]] bool isStarting(const RunRef &run) const;
     void handleStart(const RunRef &run, const WorkerResult &result);
     void sendStop(const RunRef &run);
     void handleStop(const RunRef &run, const WorkerResult &result);
     void setReachable(bool isReachable, std::string_view reason);
     void reportLost(const RunRef &run, std::string_view reason);
     void sendOrder(WorkerOrder order, JobDriver::WorkerHandler then);
+    void callWorker(WorkerOrder order, Milliseconds timeout, JobDriver::WorkerHandler then);
     [[nodiscard]] Milliseconds pollWait() const;
     void addRun(LiveRun run);
     LiveRun removeRun(std::map<RunRef, LiveRun>::iterator place);
@@ -156,6 +168,10 @@
     /** The worker's life according to its latest answer, or to its entry before the first answer. */
     WorkerLife m_life;
     WorkerLease m_lease;
+    /** The worker's address, and what is known of the connections to it. */
+    WorkerTarget m_target;
+    /** Start orders that wait for a connection that leads to the known life. */
+    std::vector<std::shared_ptr<const StartOrder>> m_heldStarts;
     /** Ended runs up to here were passed to onEnded. */
     EndNumber m_reported;
     /** Ended runs up to here are recorded. */
--- a/src/libjobs/workerorder.h
+++ b/src/libjobs/workerorder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobids.h"
 #include "taskref.h"
 #include "units.h"
 
@@ -24,6 +25,8 @@
     Milliseconds wait {};
     /** If set, the poll is sent over this connection or not at all. */
     std::optional<WorkerChannel> onlyOver;
+    /** Sent over a connection that orders use, to learn which life of the worker that connection leads to. */
+    bool isOverOrderChannel = false;
 };
 
 /** Starts one run. */
@@ -58,6 +61,17 @@
 
 using WorkerOrder = std::variant<PollOrder, StartOrder, StopOrder, PaceOrder>;
 
+/** Where an order goes, and which connections may carry it. */
+struct WorkerTarget
+{
+    WorkerId id;
+    Address address;
+    /** Connections that were established by then lead to former lives of the worker; no order goes over them. */
+    ChannelMark formerLives;
+    /** Connections that were established by then lead to its known life or a former one; starts need one of them. */
+    ChannelMark knownLife;
+};
+
 /** One run in a worker's report. */
 struct RunningRow
 {
@@ -98,6 +112,8 @@
     /** Nullopt when the answer doesn't contain it. */
     std::optional<WorkerLife> life;
     WorkerChannel channel;
+    /** The connections that were established when the order was sent, the one that carried it included. */
+    ChannelMark establishedBefore;
     std::vector<RunningRow> running;
     std::vector<EndedRow> ended;
 };
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -3,6 +3,7 @@
 #include "byteconnection.h"
 #include "socket.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <deque>
@@ -74,6 +75,10 @@
         std::unique_ptr<ResponseParser> parser;
         PendingPointer current;
         bool isConnected = false;
+        /** Meaningful once connected. */
+        ConnectionMark establishedAs;
+        /** The client's mark when the request of the current call was sent. */
+        ConnectionMark sentAt;
         /** Closed once its call is over. */
         bool isLast = false;
         /** Not in its pool any more; its socket goes at the end of the round. */
@@ -90,7 +95,13 @@
     using PoolKey = std::pair<Address, HttpLane>;
 
     void begin(const PendingPointer &pending);
-    ConnectionPointer findIdle(Pool &pool, const std::optional<ConnectionId> &onlyOver) const;
+    void dropUseless(Pool &pool, ConnectionMark establishedBy);
+    void beginOnNew(Pool &pool, const PendingPointer &pending);
+    void beginOnEstablished(Pool &pool, const PendingPointer &pending);
+    void wait(Pool &pool, const PendingPointer &pending);
+    static bool mayCarry(const Connection &connection, const HttpCall &call);
+    ConnectionPointer findIdle(Pool &pool, const HttpCall &call) const;
+    void noteEstablished(Connection &connection);
     ConnectionPointer connect(Pool &pool, const Address &address, std::string &detail);
     void send(Connection &connection, const PendingPointer &pending);
     void receive(const ConnectionPointer &connection, std::string_view bytes);
@@ -101,33 +112,77 @@
     void complete(const PendingPointer &pending, HttpResult result);
     void fail(const PendingPointer &pending, HttpErrorKind kind, std::string detail);
     void serveWaiting(Pool &pool, const ConnectionPointer &connection);
+    void resumeWaiting(Pool &pool);
 
     EventLoop &loop;
     HttpClientOptions options;
     std::map<PoolKey, Pool> pools;
     std::uint64_t lastConnection = 0;
+    std::uint64_t establishedConnections = 0;
 };
 
 void HttpClient::Private::begin(const PendingPointer &pending)
 {
     Pool &pool = pools[{ pending->call.address, pending->call.lane }];
-    if (const ConnectionPointer idle = findIdle(pool, pending->call.onlyOver)) {
-        send(*idle, pending);
-        return;
+    if (pending->call.establishedAfter.value() > 0) {
+        dropUseless(pool, pending->call.establishedAfter);
     }
-    if (pending->call.onlyOver) {
+    if (const ConnectionPointer idle = findIdle(pool, pending->call)) {
+        send(*idle, pending);
+    } else if (pending->call.onlyOver) {
         fail(pending, HttpErrorKind::NotSent, "the connection is gone");
-        return;
+    } else if (pending->call.establishedBy) {
+        beginOnEstablished(pool, pending);
+    } else if (pool.connections.size() < options.connectionsPerLane) {
+        beginOnNew(pool, pending);
+    } else {
+        wait(pool, pending);
     }
-    if (pool.connections.size() < options.connectionsPerLane) {
-        std::string detail;
-        if (const ConnectionPointer made = connect(pool, pending->call.address, detail)) {
-            send(*made, pending);
+}
+
+/** Closes the connections that were established by then, those with a call once that is over. */
+void HttpClient::Private::dropUseless(Pool &pool, ConnectionMark establishedBy)
+{
+    for (const ConnectionPointer &connection : std::vector<ConnectionPointer>(pool.connections)) {
+        if (!connection->isConnected || connection->establishedAs > establishedBy) {
+            continue;
+        }
+        if (connection->current) {
+            connection->isLast = true;
         } else {
-            fail(pending, HttpErrorKind::NotSent, detail);
+            drop(connection);
         }
+    }
+}
+
+void HttpClient::Private::beginOnNew(Pool &pool, const PendingPointer &pending)
+{
+    std::string detail;
+    if (const ConnectionPointer made = connect(pool, pending->call.address, detail)) {
+        send(*made, pending);
+    } else {
+        fail(pending, HttpErrorKind::NotSent, detail);
+    }
+}
+
+/** Waits for a busy connection that may carry the call, and establishes one that may carry later calls. */
+void HttpClient::Private::beginOnEstablished(Pool &pool, const PendingPointer &pending)
+{
+    const bool isAnyEstablished = std::ranges::any_of(
+        pool.connections, [&pending](const ConnectionPointer &known) { return mayCarry(*known, pending->call); });
+    if (!isAnyEstablished) {
+        fail(pending, HttpErrorKind::NotSent, "no connection was established by then");
         return;
     }
+    if (pool.connections.size() < options.connectionsPerLane) {
+        std::string detail;
+        connect(pool, pending->call.address, detail);
+    }
+    wait(pool, pending);
+}
+
+void HttpClient::Private::wait(Pool &pool, const PendingPointer &pending)
+{
     if (pool.waiting.size() >= options.queuedCalls) {
         fail(pending, HttpErrorKind::NotSent, "too many calls wait");
         return;
@@ -135,18 +190,32 @@
     pool.waiting.push_back(pending);
 }
 
-HttpClient::Private::ConnectionPointer HttpClient::Private::findIdle(Pool &pool,
-                                                                     const std::optional<ConnectionId> &onlyOver) const
+bool HttpClient::Private::mayCarry(const Connection &connection, const HttpCall &call)
+{
+    const bool isWanted = !call.onlyOver || connection.id == *call.onlyOver;
+    const bool isOldEnough =
+        !call.establishedBy || (connection.isConnected && connection.establishedAs <= *call.establishedBy);
+    return isWanted && isOldEnough && !connection.isLast;
+}
+
+HttpClient::Private::ConnectionPointer HttpClient::Private::findIdle(Pool &pool, const HttpCall &call) const
 {
     for (const ConnectionPointer &connection : pool.connections) {
-        const bool isWanted = !onlyOver || connection->id == *onlyOver;
-        if (isWanted && !connection->current && !connection->isLast) {
+        if (!connection->current && mayCarry(*connection, call)) {
             return connection;
         }
     }
     return nullptr;
 }
 
+void HttpClient::Private::noteEstablished(Connection &connection)
+{
+    connection.isConnected = true;
+    connection.establishedAs = ConnectionMark(++establishedConnections);
+    // A request that was given to the connection before is sent now.
+    connection.sentAt = connection.establishedAs;
+}
+
 HttpClient::Private::ConnectionPointer HttpClient::Private::connect(Pool &pool, const Address &address,
                                                                     std::string &detail)
 {
@@ -166,7 +235,7 @@
     const std::weak_ptr<Connection> weak = connection;
     connection->bytes = std::make_unique<ByteConnection>(
         loop, std::move(socket), true,
-        ByteConnection::Handlers { [weak] { weak.lock()->isConnected = true; },
+        ByteConnection::Handlers { [this, weak] { noteEstablished(*weak.lock()); },
                                    [this, weak](std::string_view bytes) { receive(weak.lock(), bytes); }, [] {},
                                    [this, weak](const std::string &reason) {
                                        endConnection(weak.lock(), reason);
@@ -178,6 +247,7 @@
 void HttpClient::Private::send(Connection &connection, const PendingPointer &pending)
 {
     connection.current = pending;
+    connection.sentAt = ConnectionMark(establishedConnections);
     connection.parser = std::make_unique<ResponseParser>();
     connection.parser->eager(true);
     connection.parser->body_limit(options.maximumResponseBytes);
@@ -211,23 +281,34 @@
 {
     const bool staysOpen = connection->parser->keep_alive() && !connection->isLast;
     const PendingPointer pending = std::exchange(connection->current, nullptr);
-    HttpAnswer answer { takeResponse(*connection->parser), connection->id };
+    HttpAnswer answer { takeResponse(*connection->parser), connection->id, connection->sentAt };
     connection->parser.reset();
     Pool &pool = *connection->pool;
     if (staysOpen) {
         serveWaiting(pool, connection);
     } else {
         drop(connection);
+        resumeWaiting(pool);
     }
     complete(pending, std::move(answer));
 }
 
 void HttpClient::Private::serveWaiting(Pool &pool, const ConnectionPointer &connection)
 {
-    if (!pool.waiting.empty()) {
-        const PendingPointer next = pool.waiting.front();
-        pool.waiting.pop_front();
-        send(*connection, next);
+    const auto next = std::ranges::find_if(
+        pool.waiting, [&connection](const PendingPointer &pending) { return mayCarry(*connection, pending->call); });
+    if (next != pool.waiting.end()) {
+        const PendingPointer pending = *next;
+        pool.waiting.erase(next);
+        send(*connection, pending);
+    }
+}
+
+/** Begins the waiting calls again after a connection was lost, as some may have waited for just that one. */
+void HttpClient::Private::resumeWaiting(Pool &pool)
+{
+    for (const PendingPointer &pending : std::exchange(pool.waiting, {})) {
+        begin(pending);
     }
 }
 
@@ -244,8 +325,9 @@
         boost::system::error_code error;
         connection->parser->put_eof(error);
         if (!error && connection->parser->is_done()) {
-            HttpAnswer answer { takeResponse(*connection->parser), connection->id };
+            HttpAnswer answer { takeResponse(*connection->parser), connection->id, connection->sentAt };
             drop(connection);
+            resumeWaiting(pool);
             complete(pending, std::move(answer));
             return;
         }
@@ -254,11 +336,7 @@
     if (pending) {
         fail(pending, wasSent ? HttpErrorKind::Unknown : HttpErrorKind::NotSent, detail);
     }
-    if (!pool.waiting.empty()) {
-        const PendingPointer next = pool.waiting.front();
-        pool.waiting.pop_front();
-        begin(next);
-    }
+    resumeWaiting(pool);
 }
 
 void HttpClient::Private::drop(const ConnectionPointer &connection)
@@ -305,7 +383,7 @@
 }
 
 HttpClient::HttpClient(EventLoop &loop, HttpClientOptions options)
-    : m_d(std::make_unique<Private>(Private { loop, options, {}, 0 }))
+    : m_d(std::make_unique<Private>(Private { loop, options, {}, 0, 0 }))
 {
 }
 
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -17,6 +17,9 @@
 /** Names one connection of an HttpClient; never used again for another one. */
 using ConnectionId = Strong<std::uint64_t, struct ConnectionIdTag>;
 
+/** Counts the connections that an HttpClient has established; a connection is established as the count's next value. */
+using ConnectionMark = Strong<std::uint64_t, struct ConnectionMarkTag>;
+
 /** Separates the calls to one address, so that those that wait long don't hold up the others. */
 enum class HttpLane { Orders, Waits };
 
@@ -30,6 +33,10 @@
     Milliseconds timeout {};
     /** When given, the call goes over this connection or not at all. */
     std::optional<ConnectionId> onlyOver;
+    /** Connections to the address that were established by then are of no use any more, and are closed. */
+    ConnectionMark establishedAfter {};
+    /** When given, the call goes over a connection that was established by then, or not at all. */
+    std::optional<ConnectionMark> establishedBy {};
 };
 
 /** A response and the connection that it came on. */
@@ -37,6 +44,8 @@
 {
     HttpResponse response;
     ConnectionId connection;
+    /** The connections that were established when the request was sent, this one included. */
+    ConnectionMark establishedBefore {};
 };
 
 /** Whether a call without a response may have had an effect. */
--- a/tests/libjobs/fleetfixture.cpp
+++ b/tests/libjobs/fleetfixture.cpp
@@ -52,7 +52,7 @@
         }
         m_answers.emplace_back([then, reply] { then(reply); });
     };
-    driver.callWorker = [this](const WorkerId &, const Address &, const WorkerOrder &order, Milliseconds,
+    driver.callWorker = [this](const WorkerTarget &, const WorkerOrder &order, Milliseconds,
                                const JobDriver::WorkerHandler &then) {
         // Only the first poll of each worker is answered, so that the fleet doesn't change afterwards.
         if (!std::get<PollOrder>(order).onlyOver) {
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -152,6 +152,12 @@
             return std::tie(other.at, other.order) < std::tie(at, order);
         }
     };
+    /** A connection that carries orders; silent once the life that it leads to has ended. */
+    struct OrderChannel
+    {
+        ChannelMark mark;
+        WorkerLife life;
+    };
     struct PendingWatch
     {
         KvWatch request;
@@ -186,9 +192,13 @@
     void callStore(Host &host, std::uint64_t process, const KvRequest &request, Milliseconds timeout,
                    const JobDriver::KvHandler &then);
     void arriveAtStore(Host &host, std::uint64_t process, const KvRequest &request, const JobDriver::KvHandler &then);
-    void callWorker(Host &host, std::uint64_t process, const WorkerId &worker, const WorkerOrder &order,
+    void callWorker(Host &host, std::uint64_t process, const WorkerTarget &target, const WorkerOrder &order,
                     Milliseconds timeout, const JobDriver::WorkerHandler &then);
-    void arriveAtWorker(Host &host, std::uint64_t process, const WorkerId &worker, const WorkerOrder &order,
+    /** The connection from a host's process that may carry an order to @p target; drops one of a former life. */
+    std::optional<OrderChannel> findOrderChannel(const Host &host, std::uint64_t process, const WorkerTarget &target);
+    /** Opens a connection for orders to the worker's present life. */
+    OrderChannel openOrderChannel(const Host &host, std::uint64_t process, WorkerNode &node);
+    void arriveAtWorker(Host &host, const WorkerId &worker, const WorkerOrder &order,
                         const JobDriver::WorkerHandler &then);
     void sendPeer(Host &host, const HostId &to, const JobMessage &message);
     Host &find(const HostId &host) const;
@@ -221,6 +231,8 @@
     double m_storeReplyLoss = 0;
     double m_lateOrderProbability = 0;
     double m_orderAnswerLoss = 0;
+    /** The connections for orders that were established. */
+    ChannelMark m_lastChannel;
     std::vector<VirtualCall> m_calls;
     std::map<std::string, std::size_t, std::less<>> m_logCounts;
     std::vector<std::string> m_transcript;
--- a/tests/libjobs/virtualsite_p.h
+++ b/tests/libjobs/virtualsite_p.h
@@ -47,6 +47,8 @@
     bool isSilent = false;
     /** Number of the connection from each host; incremented when the connection is lost. */
     std::map<HostId, std::uint64_t> channels;
+    /** The connection for orders from each process of a host. */
+    std::map<std::pair<HostId, std::uint64_t>, OrderChannel> orderChannels;
 };
 
 } // namespace currantring
--- a/tests/libjobs/virtualsitewires.cpp
+++ b/tests/libjobs/virtualsitewires.cpp
@@ -11,6 +11,13 @@
 constexpr Milliseconds admissionDelay { 50 };
 constexpr Milliseconds admissionValidity { 3000 };
 
+/** Whether the order goes over the connections for orders, not over the one for polls. */
+bool usesOrderChannel(const WorkerOrder &order)
+{
+    const auto *const look = std::get_if<PollOrder>(&order);
+    return look == nullptr || look->isOverOrderChannel;
+}
+
 } // namespace
 
 JobDriver VirtualSite::makeDriver(Host &host, std::uint64_t process)
@@ -23,10 +30,9 @@
                                               const JobDriver::KvHandler &then) {
         callStore(host, process, request, timeout, then);
     };
-    driver.callWorker = [this, &host, process](const WorkerId &worker, const Address & /*address*/,
-                                               const WorkerOrder &order, Milliseconds timeout,
-                                               const JobDriver::WorkerHandler &then) {
-        callWorker(host, process, worker, order, timeout, then);
+    driver.callWorker = [this, &host, process](const WorkerTarget &target, const WorkerOrder &order,
+                                               Milliseconds timeout, const JobDriver::WorkerHandler &then) {
+        callWorker(host, process, target, order, timeout, then);
     };
     driver.askAdmission = [this, &host, process](const StepRef &step, const std::vector<WorkerId> &workers,
                                                  Milliseconds, const JobDriver::AdmissionHandler &then) {
@@ -187,17 +193,27 @@
     at(m_now + latency(), [then, result] { then(result); });
 }
 
-void VirtualSite::callWorker(Host &host, std::uint64_t process, const WorkerId &worker, const WorkerOrder &order,
+void VirtualSite::callWorker(Host &host, std::uint64_t process, const WorkerTarget &target, const WorkerOrder &order,
                              Milliseconds timeout, const JobDriver::WorkerHandler &then)
 {
+    const WorkerId &worker = target.id;
     const auto isFinished = std::make_shared<bool>(false);
-    const auto finish = [this, &host, process, worker, order, then, isFinished](const WorkerResult &result) {
+    const bool isForOrders = usesOrderChannel(order);
+    const std::optional<OrderChannel> channel =
+        isForOrders ? findOrderChannel(host, process, target) : std::optional<OrderChannel>();
+    const auto finish = [this, &host, process, worker, isForOrders, channel, then,
+                         isFinished](const WorkerResult &result) {
         if (std::exchange(*isFinished, true)) {
             return;
         }
-        const bool isLook = std::holds_alternative<PollOrder>(order);
-        if (!result && result.error().failure == WorkerFailure::Unknown && isLook) {
-            ++workerNode(worker).channels[host.id];
+        if (!result && result.error().failure == WorkerFailure::Unknown) {
+            WorkerNode &node = workerNode(worker);
+            const auto known = node.orderChannels.find({ host.id, process });
+            if (!isForOrders) {
+                ++node.channels[host.id];
+            } else if (channel && known != node.orderChannels.end() && known->second.mark == channel->mark) {
+                node.orderChannels.erase(known);
+            }
         }
         deliver(host, process, [then, result] { then(result); });
     };
@@ -210,35 +226,70 @@
         return;
     }
     const auto *const look = std::get_if<PollOrder>(&order);
-    if (look != nullptr && look->onlyOver && look->onlyOver->value() != workerNode(worker).channels[host.id]) {
+    const bool isPollChannelGone =
+        look != nullptr && look->onlyOver && look->onlyOver->value() != workerNode(worker).channels[host.id];
+    const bool isStart = std::holds_alternative<StartOrder>(order);
+    if (isPollChannelGone || (isStart && (!channel || channel->mark > target.knownLife))) {
         at(m_now, [fail] { fail(WorkerFailure::NotSent); });
         return;
     }
-    at(m_now + latency(), [this, &host, process, worker, order, finish, fail] {
-        WorkerNode &node = workerNode(worker);
-        if (m_workerCuts.contains({ host.id, worker }) || (node.isDown && node.isSilent)) {
-            return;
-        }
-        if (node.isDown) {
-            fail(WorkerFailure::NotSent);
-            return;
-        }
-        const bool isLook = std::holds_alternative<PollOrder>(order);
-        if (!isLook && uniformUnit(m_random) < m_lateOrderProbability) {
-            const Milliseconds late(300 + static_cast<std::int64_t>(uniformBelow(m_random, 11'700)));
-            at(m_now + late, [this, worker, order] {
-                if (!workerNode(worker).isDown) {
-                    static_cast<void>(workerNode(worker).worker->execute(order, m_now));
-                }
-            });
-            return;
-        }
-        arriveAtWorker(host, process, worker, order, finish);
-    });
+    at(m_now + latency(),
+       [this, &host, process, worker, order, isForOrders, channel, finish, fail, sentAt = m_lastChannel] {
+           WorkerNode &node = workerNode(worker);
+           if (m_workerCuts.contains({ host.id, worker }) || (node.isDown && node.isSilent)) {
+               return;
+           }
+           if (node.isDown) {
+               fail(WorkerFailure::NotSent);
+               return;
+           }
+           if (channel && channel->life != node.worker->entry().life) {
+               return;
+           }
+           const bool isLook = std::holds_alternative<PollOrder>(order);
+           // A connection that is opened for the order was established when the order was sent.
+           const ChannelMark channels = isForOrders && !channel ? openOrderChannel(host, process, node).mark : sentAt;
+           if (!isLook && uniformUnit(m_random) < m_lateOrderProbability) {
+               const Milliseconds late(300 + static_cast<std::int64_t>(uniformBelow(m_random, 11'700)));
+               at(m_now + late, [this, worker, order] {
+                   if (!workerNode(worker).isDown) {
+                       static_cast<void>(workerNode(worker).worker->execute(order, m_now));
+                   }
+               });
+               return;
+           }
+           arriveAtWorker(host, worker, order, [finish, channels](WorkerResult result) {
+               if (result) {
+                   result->establishedBefore = channels;
+               }
+               finish(result);
+           });
+       });
+}
+
+std::optional<VirtualSite::OrderChannel> VirtualSite::findOrderChannel(const Host &host, std::uint64_t process,
+                                                                       const WorkerTarget &target)
+{
+    WorkerNode &node = workerNode(target.id);
+    const auto known = node.orderChannels.find({ host.id, process });
+    if (known == node.orderChannels.end()) {
+        return std::nullopt;
+    }
+    if (known->second.mark <= target.formerLives) {
+        node.orderChannels.erase(known);
+        return std::nullopt;
+    }
+    return known->second;
+}
+
+VirtualSite::OrderChannel VirtualSite::openOrderChannel(const Host &host, std::uint64_t process, WorkerNode &node)
+{
+    m_lastChannel = ChannelMark(m_lastChannel.value() + 1);
+    return node.orderChannels[{ host.id, process }] = { m_lastChannel, node.worker->entry().life };
 }
 
-void VirtualSite::arriveAtWorker(Host &host, std::uint64_t /*process*/, const WorkerId &worker,
-                                 const WorkerOrder &order, const JobDriver::WorkerHandler &then)
+void VirtualSite::arriveAtWorker(Host &host, const WorkerId &worker, const WorkerOrder &order,
+                                 const JobDriver::WorkerHandler &then)
 {
     const WorkerResult result = workerNode(worker).worker->execute(order, m_now);
     const auto reply = [this, &host, worker, then](WorkerResult answer) {
--- a/tests/libjobs/virtualworker.cpp
+++ b/tests/libjobs/virtualworker.cpp
@@ -282,6 +282,7 @@
     }
     m_entry.life = WorkerLife(m_entry.life.value() + 1 + now.time_since_epoch().count());
     m_startedAt = now;
+    m_clockOffset = Milliseconds(0);
     m_token = WriterToken(0);
     m_leaseEnd.reset();
     m_runs.clear();
--- a/tests/libnet/testhttpclient.cpp
+++ b/tests/libnet/testhttpclient.cpp
@@ -68,4 +68,59 @@
     BOOST_TEST((silent->error().kind == HttpErrorKind::Unknown));
 }
 
+/** A start that reached a worker that had restarted unseen got the longest lease, and its task ran twice. */
+BOOST_AUTO_TEST_CASE(aCallThatNeedsAnOldConnectionOpensNone)
+{
+    ScriptedServer server({ { { emptyAnswer, emptyAnswer }, true } });
+    EventLoop loop;
+    BOOST_REQUIRE(loop.open());
+    HttpClient client(loop, {});
+    HttpCall early = callTo(server.address(), ampleTimeout);
+    early.establishedBy = ConnectionMark(0);
+    std::optional<HttpResult> unsent;
+    std::optional<HttpResult> second;
+    client.call(early, [&](const HttpResult &result) {
+        unsent = result;
+        client.call(callTo(server.address(), ampleTimeout), [&](const HttpResult &first) {
+            BOOST_REQUIRE(first.has_value());
+            BOOST_TEST((first->establishedBefore == ConnectionMark(1)));
+            HttpCall late = callTo(server.address(), ampleTimeout);
+            late.establishedBy = first->establishedBefore;
+            client.call(late, [&](const HttpResult &third) {
+                second = third;
+                loop.quit();
+            });
+        });
+    });
+    loop.run();
+    BOOST_REQUIRE(unsent.has_value());
+    BOOST_REQUIRE(!unsent->has_value());
+    BOOST_TEST((unsent->error().kind == HttpErrorKind::NotSent));
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->has_value());
+    BOOST_TEST(client.connectionsBegun() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(uselessConnectionsAreClosed)
+{
+    ScriptedServer server({ { { emptyAnswer }, true }, { { emptyAnswer }, true } });
+    EventLoop loop;
+    BOOST_REQUIRE(loop.open());
+    HttpClient client(loop, {});
+    std::optional<HttpResult> second;
+    client.call(callTo(server.address(), ampleTimeout), [&](const HttpResult &first) {
+        BOOST_REQUIRE(first.has_value());
+        HttpCall call = callTo(server.address(), ampleTimeout);
+        call.establishedAfter = first->establishedBefore;
+        client.call(call, [&](const HttpResult &result) {
+            second = result;
+            loop.quit();
+        });
+    });
+    loop.run();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(second->has_value());
+    BOOST_TEST(client.connectionsBegun() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
