Read a worker's clock from answers that name its life only

Cause: the writer took the clock in answers to starts and stops without regard to the worker's life. A new life's clock begins at zero, so a lease granted on the former clock seemed to last for the former uptime. Change: only answers to polls, which name the life, are readings.

Test: WorkerLives/tasksOfARestartedWorkerRunOnceAndAreStartedAgain.

--- a/src/libjobs/workerlease.h
+++ b/src/libjobs/workerlease.h
@@ -26,7 +26,12 @@
 
     /** Lowers the bound on the leases that previous writers granted. */
     void limitInherited(TimePoint until);
-    /** Records that an answer received at @p now carried the worker clock @p clock. */
+    /**
+     * Records that an answer received at @p now carried the worker clock @p clock.
+     *
+     * Precondition: the answer names the worker's life, and noteRestart() was called if that is a new one; times on the
+     * clocks of two lives can't be compared.
+     */
     void noteClock(WorkerTime clock, TimePoint now);
     [[nodiscard]] bool hasClockSample() const;
     /** The worker's clock, extrapolated from its latest answer; 0 before the first answer. */
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -216,9 +216,7 @@
 
 void WorkerLink::handleStart(const RunRef &run, const WorkerResult &result)
 {
-    if (result) {
-        m_lease.noteClock(result->clock, m_context.now());
-    }
+    // The clock in the answer isn't noted: it may be that of a life that the writer doesn't know yet.
     const auto place = m_runs.find(run);
     if (place == m_runs.end()) {
         return;
@@ -275,7 +273,6 @@
         return;
     }
     if (result) {
-        m_lease.noteClock(result->clock, m_context.now());
         // Any start order still in flight is refused from now on.
         place->second.settledAt = m_context.now();
         place->second.phase = RunPhase::Stopping;
--- a/tests/libjobs/testworkerlives.cpp
+++ b/tests/libjobs/testworkerlives.cpp
@@ -8,10 +8,13 @@
 namespace {
 
 constexpr Milliseconds startTime { 1500 };
+constexpr Milliseconds step { 10 };
+/** A lasting task has to run again this long after its last run, where a worker has room for it, with 3 s of room. */
+constexpr Milliseconds restartLimit { 9000 };
 constexpr std::uint64_t seeds = 4;
 constexpr Milliseconds submissionInterval { 40 };
 constexpr Milliseconds submissionTime { 6000 };
-/** Longer than any lease. */
+/** Longer than any lease, and than the limit. */
 constexpr Milliseconds watchTime { 12'000 };
 
 /** What happens to a worker that loses its power. */
@@ -121,7 +124,8 @@
     }
 }
 
-void play(const WorkerFate &workerFate, WriterFate writerFate, std::uint64_t seed)
+/** Plays one row; returns the longest time during which a lasting task hadn't been running. */
+Milliseconds play(const WorkerFate &workerFate, WriterFate writerFate, std::uint64_t seed)
 {
     VirtualSite site({ .seed = seed, .workers = 4 });
     site.run(startTime);
@@ -132,24 +136,41 @@
     site.run(Milliseconds(2000 + 37 * static_cast<std::int64_t>(seed)));
     disturbWorker(site, workerFate);
     disturbWriter(site, writerFate);
-    site.run(watchTime);
+    Milliseconds away {};
+    Milliseconds longest {};
+    for (Milliseconds played {}; played < watchTime; played += step) {
+        site.run(step);
+        away = doAllRun(site, lasting) ? Milliseconds(0) : away + step;
+        longest = std::max(longest, away);
+    }
     for (const std::string &violation : site.judge().violations()) {
         BOOST_ERROR(workerFate.name << ", " << nameOf(writerFate) << ", seed " << seed << ": " << violation);
     }
+    return longest;
 }
 
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WorkerLives)
 
-/** Starts that a worker took after a restart that its writer hadn't seen ran on when they were started elsewhere. */
-BOOST_AUTO_TEST_CASE(tasksOfARestartedWorkerRunOnce)
+/**
+ * A worker that restarts under its name knows no lease and counts its clock anew. Starts that name a time on the former
+ * clock let it run tasks longer than its writer knew (two runs at once); answers with the new clock let the writer
+ * compare that with the former one and wait for the difference (lasting tasks that stayed away).
+ */
+BOOST_AUTO_TEST_CASE(tasksOfARestartedWorkerRunOnceAndAreStartedAgain)
 {
     for (const WorkerFate &workerFate : workerFates()) {
         for (const WriterFate writerFate : { WriterFate::Stays, WriterFate::IsKilled, WriterFate::HandsOver }) {
+            Milliseconds longest {};
             for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-                play(workerFate, writerFate, seed);
+                longest = std::max(longest, play(workerFate, writerFate, seed));
             }
+            BOOST_TEST_MESSAGE(workerFate.name << ", " << nameOf(writerFate) << ": started again after "
+                                               << longest.count() << " ms at most");
+            BOOST_TEST((longest <= restartLimit),
+                       workerFate.name << ", " << nameOf(writerFate) << ": a task was away for " << longest.count()
+                                       << " ms");
         }
     }
 }
