Begin due occurrences a few at a time, and forget those that are over

Causes: each due occurrence was started by a call within the one before; all of them waited at once, with a log line each; done ones were kept and stored task by task, which for 100,000 would exceed one value of the store. Change: occurrences begin while fewer than 250 tasks of the job wait, more every 100 ms; those that are over are compacted in jobs of more than 100 repetitions; jobs of more than 100,000 tasks are refused at hand-in.

--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -10,6 +10,9 @@
 constexpr std::array<std::string_view, 7> runEndNames {
     "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"
 };
+/** Jobs with at most so many occurrences are stored in full, as earlier versions of the program read them. */
+constexpr std::uint32_t maxPlainOccurrences = 100;
+
 constexpr std::array<std::string_view, 5> jobPhaseNames { "queued", "running", "completed", "failed", "cancelled" };
 
 } // namespace
@@ -30,6 +33,13 @@
     return found == runs.end() ? nullptr : &*found;
 }
 
+bool Occurrence::isOver() const
+{
+    return doneSteps == steps.size() && std::ranges::all_of(steps, [](const StepTasks &step) {
+               return std::ranges::all_of(step.tasks, [](const Task &task) { return task.runs.empty(); });
+           });
+}
+
 Job::Job(std::shared_ptr<const JobSpec> given, WallTime accepted)
     : spec(std::move(given))
     , acceptedAt(accepted)
@@ -49,6 +59,9 @@
 bool Job::isStepOpen(std::uint32_t occurrence, std::uint32_t step) const
 {
     const Occurrence &begun = occurrences.at(occurrence);
+    if (begun.isCompacted()) {
+        return false;
+    }
     return std::ranges::all_of(spec->steps.at(step).after,
                                [&begun](std::uint32_t earlier) { return begun.steps.at(earlier).isDone(); });
 }
@@ -61,6 +74,26 @@
     }
 }
 
+void Job::addDoneOccurrence()
+{
+    occurrences.emplace_back();
+    ++doneOccurrences;
+}
+
+void Job::compactOccurrences()
+{
+    if (spec->occurrences() <= maxPlainOccurrences) {
+        return;
+    }
+    for (std::size_t number = firstKept; number < occurrences.size(); ++number) {
+        Occurrence &occurrence = occurrences[number];
+        if (occurrence.isOver()) {
+            occurrence = {};
+        }
+        firstKept += number == firstKept && occurrence.isCompacted() ? 1 : 0;
+    }
+}
+
 Task *Job::task(const TaskRef &ref)
 {
     return const_cast<Task *>(std::as_const(*this).task(ref));
@@ -110,7 +143,7 @@
 std::vector<RunRef> Job::liveRuns() const
 {
     std::vector<RunRef> live;
-    for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
+    for (std::uint32_t occurrence = firstKept; occurrence < occurrences.size(); ++occurrence) {
         const std::vector<StepTasks> &steps = occurrences[occurrence].steps;
         for (std::uint32_t step = 0; step < steps.size(); ++step) {
             for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -75,8 +75,17 @@
 /** One repetition of the steps of a job. */
 struct Occurrence
 {
+    /** Empty once the occurrence is compacted. */
     std::vector<StepTasks> steps;
     std::uint32_t doneSteps = 0;
+
+    /** Whether it is done and its tasks have been forgotten. */
+    [[nodiscard]] bool isCompacted() const
+    {
+        return steps.empty();
+    }
+    /** Whether it is done and none of its runs is known to go on. */
+    [[nodiscard]] bool isOver() const;
 };
 
 /** A job and the progress of its tasks. */
@@ -87,6 +96,8 @@
     /** Started occurrences, numbered from 0 without gaps. */
     std::vector<Occurrence> occurrences;
     std::uint32_t doneOccurrences = 0;
+    /** Occurrences before this one are compacted. */
+    std::uint32_t firstKept = 0;
     /** Whether a worker is known to have started a task of the job. */
     bool hasBegun = false;
     /** Completed, Failed or Cancelled once the job is closed; no task starts after that. */
@@ -102,10 +113,17 @@
     [[nodiscard]] JobPhase phase() const;
     /** Whether all tasks of all occurrences are done. */
     [[nodiscard]] bool areAllTasksDone() const;
-    /** Whether the steps that @p step depends on are done. Precondition: the occurrence has started. */
+    /**
+     * Whether the steps that @p step depends on are done; false once the occurrence is compacted. Precondition: the
+     * occurrence has started.
+     */
     [[nodiscard]] bool isStepOpen(std::uint32_t occurrence, std::uint32_t step) const;
     /** Adds the next occurrence, with no task started. */
     void beginOccurrence();
+    /** Adds the next occurrence as one that is done and compacted. */
+    void addDoneOccurrence();
+    /** Forgets the tasks of occurrences that are over, where there are so many that they would fill the memory. */
+    void compactOccurrences();
     /** Returns null when there is no such task. */
     [[nodiscard]] Task *task(const TaskRef &ref);
     [[nodiscard]] const Task *task(const TaskRef &ref) const;
--- a/src/libjobs/jobrecord.cpp
+++ b/src/libjobs/jobrecord.cpp
@@ -58,7 +58,7 @@
 {
     json occurrences = json::array();
     for (const Occurrence &occurrence : job.occurrences) {
-        occurrences.push_back(encodeOccurrence(occurrence));
+        occurrences.push_back(occurrence.isCompacted() ? json() : encodeOccurrence(occurrence));
     }
     return json::array({ encodeJobSpec(*job.spec), job.acceptedAt.value(), std::move(occurrences), job.hasBegun,
                          job.closedAs ? static_cast<int>(*job.closedAs) : -1, job.closedAt.value() });
@@ -89,14 +89,19 @@
                                      WallTime(source.at(1).get<std::int64_t>()));
     std::uint32_t number = 0;
     for (const json &occurrence : source.at(2)) {
+        ++number;
+        if (occurrence.is_null()) {
+            job->addDoneOccurrence();
+            continue;
+        }
         job->beginOccurrence();
         for (std::uint32_t step = 0; step < occurrence.size(); ++step) {
             for (const json &task : occurrence.at(step)) {
-                decodeProgress(*job, { job->spec->id, number, step }, task);
+                decodeProgress(*job, { job->spec->id, number - 1, step }, task);
             }
         }
-        ++number;
     }
+    job->compactOccurrences();
     job->hasBegun = source.at(3).get<bool>();
     if (const int closedAs = source.at(4).get<int>(); closedAs >= 0) {
         job->closedAs = static_cast<JobPhase>(closedAs);
--- a/src/libjobs/jobspec.cpp
+++ b/src/libjobs/jobspec.cpp
@@ -9,6 +9,8 @@
 /** Limits that keep a single job from exhausting the memory of a shard. */
 constexpr std::size_t maximumSteps = 100;
 constexpr std::uint32_t maximumTasksPerStep = 10'000;
+/** Over all steps; each task that waits takes memory of the writer. */
+constexpr std::uint64_t maximumTasks = 100'000;
 constexpr std::uint32_t maximumRepetitions = 100'000;
 
 /** Bits of the stored flags of a step; existing bits must not change. */
@@ -84,8 +86,14 @@
                    "expected 1 to " + std::to_string(maximumSteps) + " steps, got "
                        + std::to_string(m_spec.steps.size()));
         }
+        std::uint64_t tasks = 0;
         for (std::size_t index = 0; index < m_spec.steps.size(); ++index) {
             checkStep(index);
+            tasks += m_spec.steps[index].count;
+        }
+        if (tasks > maximumTasks) {
+            report("steps",
+                   "expected at most " + std::to_string(maximumTasks) + " tasks, got " + std::to_string(tasks));
         }
         if (m_spec.schedule) {
             checkSchedule(*m_spec.schedule);
--- a/src/libjobs/jobtable.cpp
+++ b/src/libjobs/jobtable.cpp
@@ -122,6 +122,11 @@
     m_jobs.at(id).beginOccurrence();
 }
 
+void JobTable::compactOccurrences(const JobId &id)
+{
+    m_jobs.at(id).compactOccurrences();
+}
+
 void JobTable::setCheckpoint(const TaskRef &task, const CheckpointId &checkpoint)
 {
     if (Task *const known = findTask(task)) {
--- a/src/libjobs/jobtable.h
+++ b/src/libjobs/jobtable.h
@@ -23,6 +23,9 @@
     [[nodiscard]] const std::map<JobId, Job> &jobs() const;
     /** Starts the next occurrence of a scheduled job; not logged, since it follows from the schedule. */
     void beginOccurrence(const JobId &id);
+    /** Forgets tasks of occurrences that are over; see Job::compactOccurrences(). Precondition: as beginOccurrence().
+     */
+    void compactOccurrences(const JobId &id);
     /** Sets the latest checkpoint that a worker reported for a task; logged when the run ends. */
     void setCheckpoint(const TaskRef &task, const CheckpointId &checkpoint);
     void forget(const JobId &id);
--- a/src/libjobs/readysteps.h
+++ b/src/libjobs/readysteps.h
@@ -53,6 +53,17 @@
         m_steps.erase(first, last);
     }
 
+    /** Number of the job's tasks that wait for a worker. */
+    [[nodiscard]] std::size_t countOf(const JobId &job) const
+    {
+        std::size_t count = 0;
+        for (auto step = m_steps.lower_bound(StepRef { job, 0, 0 }); step != m_steps.end() && step->first.job == job;
+             ++step) {
+            count += step->second.tasks.size();
+        }
+        return count;
+    }
+
     [[nodiscard]] const Steps &steps() const
     {
         return m_steps;
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr Milliseconds sweepInterval { 500 };
+/** Due occurrences of a job begin only while fewer of its tasks wait for a worker, which bounds the work of a pass. */
+constexpr std::size_t maxWaitingTasks = 250;
+/** Interval at which more occurrences begin when so many wait. */
+constexpr Milliseconds refillInterval { 100 };
 /** Limit on concurrent runs of one task, where copies are allowed. */
 constexpr std::size_t maxRunsPerTask = 2;
 
@@ -146,7 +150,7 @@
     if (job == nullptr || job->isClosed()) {
         return;
     }
-    for (std::uint32_t occurrence = 0; occurrence < job->occurrences.size(); ++occurrence) {
+    for (std::uint32_t occurrence = job->firstKept; occurrence < job->occurrences.size(); ++occurrence) {
         for (std::uint32_t step = 0; step < job->spec->steps.size(); ++step) {
             openStep(*job, occurrence, step);
         }
@@ -156,30 +160,55 @@
     }
 }
 
-/** Starts the occurrences that are due and schedules a check for the next one. */
+/** Starts occurrences that are due, as many as may wait, and schedules a check for the next one. */
 void RunController::startDueOccurrences(const JobId &id)
 {
-    const Job *job = m_log.table().find(id);
-    if (job == nullptr || job->isClosed() || job->occurrences.size() >= job->spec->occurrences()) {
+    const Job *const job = m_log.table().find(id);
+    if (job == nullptr || job->isClosed()) {
         return;
     }
-    const JobSchedule &schedule = *job->spec->schedule;
-    const auto number = static_cast<std::uint32_t>(job->occurrences.size());
-    const Milliseconds left(schedule.first.value() + schedule.interval.count() * number - m_context.wallNow().value());
-    if (left.count() > 0) {
+    m_log.table().compactOccurrences(id);
+    const std::size_t first = job->occurrences.size();
+    std::optional<Milliseconds> untilNext = timeUntilNextOccurrence(*job);
+    const Milliseconds untilFirst = untilNext.value_or(Milliseconds(0));
+    std::size_t waiting = m_starter.waitingTasks(id);
+    while (untilNext && untilNext->count() <= 0 && waiting < maxWaitingTasks) {
+        beginOccurrence(*job);
+        waiting = m_starter.waitingTasks(id);
+        untilNext = timeUntilNextOccurrence(*job);
+    }
+    if (job->occurrences.size() > first) {
+        m_context.log(LogLevel::Info, events::occurrenceDue,
+                      { { "job", id.value() },
+                        { "occurrence", std::to_string(first) },
+                        { "count", std::to_string(job->occurrences.size() - first) },
+                        { "late_ms", std::to_string(-untilFirst.count()) } });
+    }
+    if (untilNext) {
         // Checks again at short intervals, as the wall clock may be adjusted in the meantime.
-        m_context.schedule(std::min(left, sweepInterval), m_lifetime.guard([this, id] { startDueOccurrences(id); }));
-        return;
+        const Milliseconds delay = untilNext->count() > 0 ? std::min(*untilNext, sweepInterval) : refillInterval;
+        m_context.schedule(delay, m_lifetime.guard([this, id] { startDueOccurrences(id); }));
+    }
+}
+
+/** Nullopt when all occurrences have begun; not positive when the next one is due. */
+std::optional<Milliseconds> RunController::timeUntilNextOccurrence(const Job &job) const
+{
+    if (job.occurrences.size() >= job.spec->occurrences()) {
+        return std::nullopt;
     }
-    m_log.table().beginOccurrence(id);
-    m_context.log(LogLevel::Info, events::occurrenceDue,
-                  { { "job", id.value() },
-                    { "occurrence", std::to_string(number) },
-                    { "late_ms", std::to_string(-left.count()) } });
-    for (std::uint32_t step = 0; step < job->spec->steps.size(); ++step) {
-        openStep(*job, number, step);
+    const JobSchedule &schedule = *job.spec->schedule;
+    const auto number = static_cast<std::int64_t>(job.occurrences.size());
+    return Milliseconds(schedule.first.value() + schedule.interval.count() * number - m_context.wallNow().value());
+}
+
+void RunController::beginOccurrence(const Job &job)
+{
+    const auto number = static_cast<std::uint32_t>(job.occurrences.size());
+    m_log.table().beginOccurrence(job.spec->id);
+    for (std::uint32_t step = 0; step < job.spec->steps.size(); ++step) {
+        openStep(job, number, step);
     }
-    startDueOccurrences(id);
 }
 
 void RunController::openStep(const Job &job, std::uint32_t occurrence, std::uint32_t step)
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -70,6 +70,8 @@
     void openTask(const Job &job, const TaskRef &task);
     void openSuccessorSteps(const Job &job, const StepRef &done);
     void startDueOccurrences(const JobId &job);
+    [[nodiscard]] std::optional<Milliseconds> timeUntilNextOccurrence(const Job &job) const;
+    void beginOccurrence(const Job &job);
     void handleRunStart(const LiveRun &run);
     void handleRunEnd(const WorkerId &worker, const LiveRun &run, ReportedEnd end, const CheckpointId &checkpoint);
     void handleRunLoss(const WorkerId &worker, const LiveRun &run, std::string_view reason);
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -50,6 +50,11 @@
     return step != m_ready.steps().end() && step->second.tasks.contains(task.index);
 }
 
+std::size_t RunStarter::waitingTasks(const JobId &job) const
+{
+    return m_ready.countOf(job);
+}
+
 void RunStarter::requestPass()
 {
     if (!std::exchange(m_passRequested, true)) {
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -48,6 +48,8 @@
     void dropTicket(const RunRef &run, const WorkerId &worker);
     /** Whether the task is waiting for placement. */
     [[nodiscard]] bool isOpen(const TaskRef &task) const;
+    /** Number of the job's tasks that wait for a worker. */
+    [[nodiscard]] std::size_t waitingTasks(const JobId &job) const;
     /** The placement request of a task; nullopt when its queue or job is unknown. */
     [[nodiscard]] std::optional<PlacementRequest> requestFor(const TaskRef &task, const StepSpec &step,
                                                              const QueueName &queue) const;
