--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -163,7 +163,7 @@
 
 void WorkerLink::holdStart(const std::shared_ptr<const StartOrder> &order)
 {
-    m_context.log(LogLevel::Debug, events::startHeld,
+    m_context.log(LogLevel::Info, events::startHeld,
                   { { "task", describe(order->run.task) },
                     { "run", std::to_string(order->run.number.value()) },
                     { "worker", m_entry.id.value() } });
--- a/tests/libjobs/testlasting.cpp
+++ b/tests/libjobs/testlasting.cpp
@@ -23,16 +23,10 @@
     return tasks;
 }
 
-bool runsAnywhere(VirtualSite &site, const TaskRef &task)
-{
-    return std::ranges::any_of(site.workers(),
-                               [&site, &task](const WorkerId &worker) { return site.worker(worker).runs(task); });
-}
-
 std::size_t countRunning(VirtualSite &site, const std::vector<TaskRef> &tasks)
 {
     return static_cast<std::size_t>(
-        std::ranges::count_if(tasks, [&site](const TaskRef &task) { return runsAnywhere(site, task); }));
+        std::ranges::count_if(tasks, [&site](const TaskRef &task) { return site.isRunning(task); }));
 }
 
 std::size_t countOn(VirtualSite &site, const WorkerId &worker, const std::vector<TaskRef> &tasks)
--- a/tests/libjobs/testworkerlives.cpp
+++ b/tests/libjobs/testworkerlives.cpp
@@ -68,16 +68,10 @@
     }
 }
 
-bool runsAnywhere(VirtualSite &site, const TaskRef &task)
-{
-    return std::ranges::any_of(site.workers(),
-                               [&site, &task](const WorkerId &worker) { return site.worker(worker).runs(task); });
-}
-
 bool doAllRun(VirtualSite &site, const JobSpec &job)
 {
     for (std::uint32_t index = 0; index < job.steps.front().count; ++index) {
-        if (!runsAnywhere(site, { { job.id, 0, 0 }, index })) {
+        if (!site.isRunning({ { job.id, 0, 0 }, index })) {
             return false;
         }
     }
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -341,6 +341,11 @@
     return ids;
 }
 
+bool VirtualSite::isRunning(const TaskRef &task) const
+{
+    return std::ranges::any_of(m_workers, [&task](const auto &node) { return node->worker->runs(task); });
+}
+
 bool VirtualSite::isAlive(const HostId &host) const
 {
     return find(host).isAlive;
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -125,6 +125,8 @@
     [[nodiscard]] std::vector<WorkerId> workers() const;
     /** Workers that are up, in service, reachable from all hosts, and neither failing nor hanging. */
     [[nodiscard]] std::vector<WorkerId> soundWorkers() const;
+    /** Whether any worker runs the task. */
+    [[nodiscard]] bool isRunning(const TaskRef &task) const;
     [[nodiscard]] bool isAlive(const HostId &host) const;
     [[nodiscard]] bool isReady(const HostId &host) const;
     /** Whether the host believes itself to be the writer. */
