Ask for admission tickets one step at a time, and use them at once

One job whose request takes nearly as long as its tickets are valid never started either.

Cause: four requests were under way although the service answers the requests of one host in turn, each for 30 workers, and their tickets aged while they waited; they expired unused, and the same steps asked again.

Change: one request at a time, for the step that is most urgent then, every fourth for the one that has waited longest; as many workers as yield the most expected starts for the duration by the configuration's figures, the share admitted so far and the room; validity counts from the answer, unless a refusal shows otherwise; the step that got tickets is placed first.

--- a/src/libjobs/admission.h
+++ b/src/libjobs/admission.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -25,6 +26,12 @@
     NoAnswer,
 };
 
+/** The name that logs use. Thread safety: reentrant. */
+constexpr std::string_view admissionFailureName(AdmissionFailure failure)
+{
+    return failure == AdmissionFailure::Busy ? "busy" : "no-answer";
+}
+
 using AdmissionResult = tl::expected<AdmissionAnswer, AdmissionFailure>;
 
 } // namespace currantring
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -379,6 +379,7 @@
         close(ref.step.job, JobPhase::Completed);
     } else if (job->occurrences.at(ref.step.occurrence).steps.at(ref.step.step).isDone()) {
         m_monitor.forgetStep(ref.step);
+        m_starter.forgetStep(ref.step);
         openSuccessorSteps(*job, ref.step);
     }
 }
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -1,6 +1,7 @@
 #include "runplacer.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace currantring {
 
@@ -89,22 +90,47 @@
     return best;
 }
 
-std::vector<WorkerId> RunPlacer::candidates(const PlacementRequest &request, std::size_t maxCount, TimePoint now) const
+std::vector<const WorkerLink *> RunPlacer::candidates(const PlacementRequest &request, TimePoint now) const
 {
-    std::vector<std::pair<double, WorkerId>> ranked;
+    std::vector<std::tuple<double, WorkerId, const WorkerLink *>> ranked;
     for (const auto &[id, link] : m_fleet.links()) {
         if (const std::optional<double> linkCost = totalCost(*link, request, now)) {
-            ranked.emplace_back(*linkCost, id);
+            ranked.emplace_back(*linkCost, id, link.get());
         }
     }
     std::ranges::sort(ranked);
-    std::vector<WorkerId> workers;
-    for (std::size_t index = 0; index < std::min(maxCount, ranked.size()); ++index) {
-        workers.push_back(ranked[index].second);
+    std::vector<const WorkerLink *> workers;
+    workers.reserve(ranked.size());
+    for (const auto &[cost, id, link] : ranked) {
+        workers.push_back(link);
     }
     return workers;
 }
 
+std::size_t RunPlacer::roomFor(const PlacementRequest &request, const WorkerLink &link, std::size_t maxCount)
+{
+    const StepSpec &step = request.step;
+    if (step.isFiller) {
+        // How many fillers a worker can take depends on their interference, not on its capacity.
+        return 1;
+    }
+    const Resources free = link.entry().capacity - link.reservedResources().held();
+    std::size_t room = std::max<std::size_t>(maxCount, 1);
+    const auto limitBy = [&room](std::int64_t available, std::int64_t needed) {
+        if (needed > 0) {
+            room = std::min(room, static_cast<std::size_t>(std::max<std::int64_t>(available / needed, 1)));
+        }
+    };
+    limitBy(free.processors.value(), step.need.processors.value());
+    limitBy(free.memory.value(), step.need.memory.value());
+    limitBy(free.accelerators.value(), step.need.accelerators.value());
+    if (step.spreadLimit > 0) {
+        const std::uint32_t present = tasksOfStep(link, request.ref);
+        limitBy(step.spreadLimit - std::min(present, step.spreadLimit), 1);
+    }
+    return room;
+}
+
 std::vector<Label> RunPlacer::racks(const ServiceName &service) const
 {
     std::map<Label, std::int64_t> free;
@@ -195,7 +221,7 @@
         return false;
     }
     if (std::ranges::find(request.excludedWorkers, entry.id) != request.excludedWorkers.end()
-        || (request.isAdmitted && !request.isAdmitted(entry.id))) {
+        || (request.isAdmitted && !request.isAdmitted(link))) {
         return false;
     }
     Resources need = step.need;
--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -27,7 +27,7 @@
     /** Whether only workers of the preferred rack are eligible. */
     bool isRackNeeded = false;
     /** If set, returns whether the task is admitted to a worker. */
-    std::function<bool(const WorkerId &worker)> isAdmitted;
+    std::function<bool(const WorkerLink &worker)> isAdmitted;
 
     /** Whether only the step and the rack determine which workers are eligible. */
     [[nodiscard]] bool hasOnlyStepConstraints() const
@@ -50,9 +50,11 @@
 
     /** The worker with the lowest cost; null when none is eligible. */
     [[nodiscard]] WorkerLink *choose(const PlacementRequest &request, TimePoint now) const;
-    /** At most @p maxCount eligible workers in order of rising cost. */
-    [[nodiscard]] std::vector<WorkerId> candidates(const PlacementRequest &request, std::size_t maxCount,
-                                                   TimePoint now) const;
+    /** The eligible workers in order of rising cost. */
+    [[nodiscard]] std::vector<const WorkerLink *> candidates(const PlacementRequest &request, TimePoint now) const;
+    /** How many tasks of the step, at most @p maxCount, an eligible worker has room for; at least 1. */
+    [[nodiscard]] static std::size_t roomFor(const PlacementRequest &request, const WorkerLink &link,
+                                             std::size_t maxCount);
     /** The racks with workers for @p service, in order of falling free processors. */
     [[nodiscard]] std::vector<Label> racks(const ServiceName &service) const;
     /** Whether the best worker isn't @p present, isn't closed by its health and has a load cost below @p maxCost. */
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -15,8 +15,10 @@
 constexpr Milliseconds maxRackWait { 3000 };
 /** Minimum time between passes; tasks that become ready in between are placed in one batch. */
 constexpr Milliseconds passInterval { 20 };
-/** Workers named in one admission request. */
-constexpr std::size_t maxAdmissionCandidates = 30;
+/** Steps without a worker to ask for that one pass goes through to find one with. */
+constexpr std::size_t maxAdmissionTries = 8;
+/** Interval at which steps that have no worker to ask for are looked at again. */
+constexpr Milliseconds admissionRetryInterval { 100 };
 
 } // namespace
 
@@ -39,6 +41,11 @@
     m_admission.forgetJob(job);
 }
 
+void RunStarter::forgetStep(const StepRef &step)
+{
+    m_admission.forgetStep(step);
+}
+
 void RunStarter::dropTicket(const RunRef &run, const WorkerId &worker)
 {
     m_admission.drop(run.task.step, worker);
@@ -74,18 +81,129 @@
     }
     m_lastPass = m_parts.context.now();
     m_noRoom.clear();
+    m_waitingForTickets.clear();
+    placeAnswered();
+    for (const StepRef &step : stepsByUrgency()) {
+        placeStep(step);
+    }
+    askAdmission();
+}
+
+/** The steps that may be placed, or that tickets may be requested for now, in order of urgency. */
+std::vector<StepRef> RunStarter::stepsByUrgency() const
+{
     std::vector<std::pair<JobUrgency, StepRef>> order;
     for (const auto &[step, ready] : m_ready.steps()) {
-        if (const QueueEntry *const queue = m_parts.queues.find(ready.queue)) {
+        const QueueEntry *const queue = m_parts.queues.find(ready.queue);
+        if (queue != nullptr && (m_admission.maySend() || !lacksTickets(step, *queue))) {
             order.emplace_back(urgencyOfStep(step, ready, *queue), step);
         }
     }
     std::ranges::sort(order);
+    std::vector<StepRef> steps;
+    steps.reserve(order.size());
     for (const auto &[urgency, step] : order) {
-        placeStep(step);
+        steps.push_back(step);
+    }
+    return steps;
+}
+
+/** Places the step whose tickets have just come before others take the room that they were requested for. */
+void RunStarter::placeAnswered()
+{
+    const std::optional<StepRef> step = m_admission.takeAnswered();
+    if (!step) {
+        return;
+    }
+    const std::size_t before = waitingTasksOf(*step);
+    if (before == 0) {
+        return;
+    }
+    placeStep(*step);
+    m_waitingForTickets.clear();
+    const bool isGang = m_ready.steps().contains(*step) && m_ready.steps().at(*step).step->isGang;
+    if (waitingTasksOf(*step) < before) {
+        m_admission.noteUse(*step, AdmissionUse::Started);
+    } else {
+        m_admission.noteUse(*step, isGang ? AdmissionUse::Incomplete : AdmissionUse::NotPlaced);
+    }
+}
+
+std::size_t RunStarter::waitingTasksOf(const StepRef &step) const
+{
+    const auto ready = m_ready.steps().find(step);
+    return ready == m_ready.steps().end() ? 0 : ready->second.tasks.size();
+}
+
+/** Requests tickets for one of the steps that this pass couldn't place for want of them. */
+void RunStarter::askAdmission()
+{
+    std::size_t tries = 0;
+    for (const StepRef &step : m_admission.turns(m_waitingForTickets)) {
+        const std::optional<AdmissionDemand> demand = admissionDemand(step, m_ready.steps().at(step));
+        if (demand) {
+            m_admission.ask(*demand);
+            return;
+        }
+        m_admission.postpone(step);
+        if (++tries == maxAdmissionTries) {
+            break;
+        }
+    }
+    if (!m_waitingForTickets.empty() && !std::exchange(m_isRetryScheduled, true)) {
+        m_parts.context.schedule(admissionRetryInterval, m_lifetime.guard([this] {
+            m_isRetryScheduled = false;
+            requestPass();
+        }));
     }
 }
 
+/** Nullopt when no request can lead to a start at present. */
+std::optional<AdmissionDemand> RunStarter::admissionDemand(const StepRef &step, const ReadyStep &ready) const
+{
+    const QueueEntry &queue = *m_parts.queues.find(ready.queue);
+    std::optional<PlacementRequest> request = requestFor({ step, *ready.tasks.begin() }, *ready.step, ready.queue);
+    if (!request) {
+        return std::nullopt;
+    }
+    const std::size_t wanted = ready.tasks.size();
+    request->rack = rackOf(step, *ready.step);
+    if (ready.step->isGang && request->rack.value().empty() && ready.step->wantsOneRack) {
+        const std::vector<Label> racks = m_parts.placer.racks(request->service);
+        request->rack = racks.empty() ? Label() : racks.front();
+    }
+    const bool waitsForRack = !ready.step->isGang && isWaitingForRack(ready, request->rack);
+    request->isRackNeeded = waitsForRack;
+    std::size_t admittedRoom = 0;
+    if (ready.step->isGang) {
+        requireTicket(step, queue, *request);
+        for (const WorkerLink *const link : m_parts.placer.candidates(*request, m_parts.context.now())) {
+            admittedRoom += RunPlacer::roomFor(*request, *link, wanted);
+        }
+    }
+    request->isAdmitted = [this, &step](const WorkerLink &link) {
+        return m_admission.mayObtainTicket(step, link.entry().id, link.life());
+    };
+    AdmissionDemand demand { step, queue.name, *queue.admission, {}, {} };
+    std::size_t room = admittedRoom;
+    for (const WorkerLink *const link : m_parts.placer.candidates(*request, m_parts.context.now())) {
+        demand.candidates.push_back({ link->entry().id, link->life(), RunPlacer::roomFor(*request, *link, wanted) });
+        room += demand.candidates.back().slots;
+    }
+    const bool isOfNoUse = ready.step->isGang && (room < wanted || admittedRoom >= wanted);
+    if (demand.candidates.empty() || isOfNoUse) {
+        return std::nullopt;
+    }
+    demand.need = { ready.step->isGang ? wanted - admittedRoom : wanted, ready.step->isGang };
+    return demand;
+}
+
+bool RunStarter::isWaitingForRack(const ReadyStep &ready, const Label &rack) const
+{
+    const Milliseconds rackWait = std::clamp(ready.step->estimate, minRackWait, maxRackWait);
+    return !rack.value().empty() && m_parts.context.now() - ready.since < rackWait;
+}
+
 JobUrgency RunStarter::urgencyOfStep(const StepRef &step, const ReadyStep &ready, const QueueEntry &queue) const
 {
     const WallTime wallNow = m_parts.context.wallNow();
@@ -155,30 +273,34 @@
 /** Restricts @p request to workers that have admitted the step, if its queue requires admission. */
 void RunStarter::requireTicket(const StepRef &step, const QueueEntry &queue, PlacementRequest &request) const
 {
-    if (queue.needsAdmission) {
-        request.isAdmitted = [this, &step](const WorkerId &worker) {
-            return !m_admission.ticket(step, worker).empty();
+    if (queue.admission) {
+        request.isAdmitted = [this, &step](const WorkerLink &link) {
+            return m_admission.isAdmitted(step, link.entry().id, link.life());
         };
     }
 }
 
-/** Requests admission to the lowest-cost workers for a step that couldn't be placed. */
-void RunStarter::askAdmission(const StepRef &step, const QueueEntry &queue, PlacementRequest request)
+/** Whether the step can't be placed as no worker has admitted it. */
+bool RunStarter::lacksTickets(const StepRef &step, const QueueEntry &queue) const
 {
-    if (!queue.needsAdmission) {
-        return;
+    return queue.admission && !m_admission.hasTickets(step);
+}
+
+/** Notes that a step wasn't placed completely, so that tickets are requested if its queue requires admission. */
+void RunStarter::waitForTickets(const StepRef &step, const QueueEntry &queue)
+{
+    if (queue.admission) {
+        m_waitingForTickets.push_back(step);
     }
-    request.isAdmitted = [this, &step](const WorkerId &worker) {
-        return m_admission.mayObtainTicket(step, worker);
-    };
-    m_admission.ask(step, m_parts.placer.candidates(request, maxAdmissionCandidates, m_parts.context.now()));
 }
 
 void RunStarter::placeTasks(const StepRef &step, const ReadyStep &ready)
 {
     const QueueEntry *const queue = m_parts.queues.find(ready.queue);
-    const TimePoint now = m_parts.context.now();
-    const Milliseconds rackWait = std::clamp(ready.step->estimate, minRackWait, maxRackWait);
+    if (lacksTickets(step, *queue)) {
+        waitForTickets(step, *queue);
+        return;
+    }
     std::optional<WorkerCostTable> costs;
     for (const std::uint32_t index : ready.tasks) {
         const TaskRef task { step, index };
@@ -188,10 +310,10 @@
         }
         requireTicket(step, *queue, *request);
         request->rack = rackOf(step, *ready.step);
-        request->isRackNeeded = !request->rack.value().empty() && now - ready.since < rackWait;
+        request->isRackNeeded = isWaitingForRack(ready, request->rack);
         WorkerLink *const link = choose(*request, costs);
         if (link == nullptr) {
-            askAdmission(step, *queue, *request);
+            waitForTickets(step, *queue);
             return;
         }
         const Assignment assignment { task, link, RunNumber(findTask(task)->lastRun.value() + 1) };
@@ -233,6 +355,11 @@
     if (!request) {
         return;
     }
+    const QueueEntry &queue = *m_parts.queues.find(ready.queue);
+    if (lacksTickets(step, queue)) {
+        waitForTickets(step, queue);
+        return;
+    }
     const Label dataRack = ready.step->dataRack;
     if (!dataRack.value().empty() && placeGangOn(step, ready, dataRack)) {
         return;
@@ -248,7 +375,7 @@
     const bool maySpanRacks = dataRack.value().empty() && !ready.step->wantsOneRack;
     const bool mayWait = !maySpanRacks && m_parts.context.now() - ready.since < rackWait;
     if (mayWait || !placeGangOn(step, ready, {})) {
-        askAdmission(step, *m_parts.queues.find(ready.queue), *request);
+        waitForTickets(step, queue);
     }
 }
 
@@ -314,14 +441,30 @@
     if (link == nullptr || job == nullptr || !link->runs().contains(run)) {
         return;
     }
-    const bool isDone = job->isClosed() || job->task(run.task)->isDone;
-    if (isDone || !link->isReachable()) {
+    const std::string ticket = m_admission.ticket(run.task.step, worker, link->life());
+    const std::string_view obstacle = obstacleToStart(run.task, *job, *link, ticket);
+    if (!obstacle.empty()) {
         const LiveRun live = link->runs().at(run);
         link->release(run);
-        m_onLoss(worker, live, isDone ? "not-needed" : "worker-silent");
+        m_onLoss(worker, live, obstacle);
         return;
     }
-    link->start(run, job->spec->payload, job->task(run.task)->checkpoint, m_admission.ticket(run.task.step, worker));
+    link->start(run, job->spec->payload, job->task(run.task)->checkpoint, ticket);
+}
+
+/** Why a committed run isn't started after all; empty when it is. */
+std::string_view RunStarter::obstacleToStart(const TaskRef &task, const Job &job, const WorkerLink &link,
+                                             const std::string &ticket) const
+{
+    if (job.isClosed() || job.task(task)->isDone) {
+        return "not-needed";
+    }
+    if (!link.isReachable()) {
+        return "worker-silent";
+    }
+    const QueueEntry *const queue = m_parts.queues.find(job.spec->queue);
+    const bool needsTicket = queue != nullptr && queue->admission;
+    return needsTicket && ticket.empty() ? "ticket-expired" : "";
 }
 
 } // namespace currantring
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -42,6 +42,8 @@
     /** Queues the task for placement: it has no run, or a copy of it is wanted. */
     void open(const TaskRef &task, const Job &job);
     void forgetJob(const JobId &job);
+    /** All tasks of @p step are done. */
+    void forgetStep(const StepRef &step);
     /** Schedules a placement pass over the waiting tasks. */
     void requestPass();
     /** Discards the admission ticket of a worker that refused the run. */
@@ -63,13 +65,22 @@
     };
 
     void pass();
+    [[nodiscard]] std::vector<StepRef> stepsByUrgency() const;
     void placeStep(const StepRef &step);
     void placeTasks(const StepRef &step, const ReadyStep &ready);
     WorkerLink *choose(const PlacementRequest &request, std::optional<WorkerCostTable> &costs);
     void placeGang(const StepRef &step, const ReadyStep &ready);
     bool placeGangOn(const StepRef &step, const ReadyStep &ready, const Label &rack);
     void requireTicket(const StepRef &step, const QueueEntry &queue, PlacementRequest &request) const;
-    void askAdmission(const StepRef &step, const QueueEntry &queue, PlacementRequest request);
+    [[nodiscard]] bool lacksTickets(const StepRef &step, const QueueEntry &queue) const;
+    void waitForTickets(const StepRef &step, const QueueEntry &queue);
+    void placeAnswered();
+    void askAdmission();
+    [[nodiscard]] std::optional<AdmissionDemand> admissionDemand(const StepRef &step, const ReadyStep &ready) const;
+    [[nodiscard]] bool isWaitingForRack(const ReadyStep &ready, const Label &rack) const;
+    [[nodiscard]] std::size_t waitingTasksOf(const StepRef &step) const;
+    [[nodiscard]] std::string_view obstacleToStart(const TaskRef &task, const Job &job, const WorkerLink &link,
+                                                   const std::string &ticket) const;
     [[nodiscard]] Label rackOf(const StepRef &step, const StepSpec &spec) const;
     LiveRun reserve(const Assignment &assignment, const ReadyStep &ready);
     void record(const Assignment &assignment, const LiveRun &run);
@@ -82,6 +93,9 @@
     Lifetime m_lifetime;
     ReadySteps m_ready;
     AdmissionClient m_admission;
+    /** Steps that the present pass couldn't place completely and that need tickets, in order of urgency. */
+    std::vector<StepRef> m_waitingForTickets;
+    bool m_isRetryScheduled = false;
     /** Valid within one pass. */
     NoRoomCache m_noRoom;
     bool m_passRequested = false;
--- a/src/libjobs/siteconfiguration.h
+++ b/src/libjobs/siteconfiguration.h
@@ -4,12 +4,29 @@
 #include "units.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace currantring {
 
+/** What a request to the admission service takes for a queue's steps, and how long its tickets are valid. */
+struct AdmissionTerms
+{
+    /** Duration of a request apart from the workers that it names. */
+    Milliseconds base {};
+    /** Additional duration for each worker that it names. */
+    Milliseconds perWorker {};
+    Milliseconds validity {};
+
+    /** Duration of a request that names @p workers. */
+    [[nodiscard]] Milliseconds durationFor(std::size_t workers) const
+    {
+        return base + Milliseconds(perWorker.count() * static_cast<std::int64_t>(workers));
+    }
+};
+
 /** A queue that jobs are submitted to. */
 struct QueueEntry
 {
@@ -27,8 +44,8 @@
     double stretch = 1;
     Milliseconds targetLatency {};
     Milliseconds timeout {};
-    /** Steps need a ticket from the admission service, which admits each to some workers only. */
-    bool needsAdmission = false;
+    /** If set, steps need a ticket from the admission service, which admits each to some workers only. */
+    std::optional<AdmissionTerms> admission;
 };
 
 /** A pool of workers. */
--- a/tests/libjobs/invariantchecker.cpp
+++ b/tests/libjobs/invariantchecker.cpp
@@ -426,6 +426,12 @@
     m_violations.push_back(rule + " at " + std::to_string(at.time_since_epoch().count()) + " ms: " + what);
 }
 
+bool InvariantChecker::hasBegun(const JobId &job) const
+{
+    const auto found = m_jobs.find(job);
+    return found != m_jobs.end() && found->second.begunAt.has_value();
+}
+
 bool InvariantChecker::isAccepted(const JobId &job) const
 {
     const auto found = m_jobs.find(job);
--- a/tests/libjobs/invariantchecker.h
+++ b/tests/libjobs/invariantchecker.h
@@ -81,6 +81,8 @@
     void checkAllCompleted(const std::map<JobId, JobPhase> &shown);
 
     [[nodiscard]] bool isAccepted(const JobId &job) const;
+    /** Whether a task of the job has started on a worker. */
+    [[nodiscard]] bool hasBegun(const JobId &job) const;
     [[nodiscard]] const std::vector<std::string> &violations() const;
     [[nodiscard]] std::size_t starts() const;
     /** Number of runs of one task that were started. */
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -42,6 +42,7 @@
 VirtualSite::VirtualSite(VirtualSiteOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_admission(m_options.admission)
 {
     m_configuration.version = ConfigurationVersion(1);
     m_configuration.pools = { { ServiceName("office"), false, false } };
@@ -59,7 +60,12 @@
     QueueEntry admitted = m_configuration.queues.back();
     admitted.name = QueueName("admitted");
     admitted.prefix = "/admitted/";
-    admitted.needsAdmission = true;
+    const VirtualAdmissionOptions &admission = m_options.admission;
+    admitted.admission = AdmissionTerms { admission.base, admission.perWorker, admission.validity };
+    m_configuration.queues.push_back(admitted);
+    admitted.name = QueueName("admitted-urgent");
+    admitted.prefix = "/admitted-urgent/";
+    admitted.priority = 0;
     m_configuration.queues.push_back(admitted);
     m_judge.noteWallStart(WallTime(wallClockStartMs));
     configure(m_configuration);
@@ -180,10 +186,14 @@
     std::vector<PendingWatch> waiting;
     waiting.swap(m_pendingWatches);
     for (PendingWatch &watch : waiting) {
-        if (!m_areWatchesDeaf && m_store.hasChanges(watch.request)) {
+        const bool mayHaveChanges = !m_areWatchesDeaf && watch.checked != m_store.watchState();
+        if (mayHaveChanges && m_store.hasChanges(watch.request)) {
             at(m_now + latency(),
                [reply = watch.reply, result = m_store.execute(watch.request, m_now)] { reply(result); });
         } else {
+            if (mayHaveChanges) {
+                watch.checked = m_store.watchState();
+            }
             m_pendingWatches.push_back(std::move(watch));
         }
     }
@@ -294,6 +304,11 @@
     return m_calls;
 }
 
+VirtualAdmission &VirtualSite::admission()
+{
+    return m_admission;
+}
+
 VirtualStore &VirtualSite::store()
 {
     return m_store;
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -2,6 +2,7 @@
 
 #include "invariantchecker.h"
 #include "jobnode.h"
+#include "virtualadmission.h"
 #include "virtualstore.h"
 #include "virtualworker.h"
 
@@ -24,6 +25,7 @@
     std::vector<Millicores> processors { Millicores(250) };
     Resources capacity { Millicores(8000), Mebibytes(16'000), AcceleratorCount(1) };
     std::uint32_t attemptLimit = 3;
+    VirtualAdmissionOptions admission { .admits = admitsTwoThirds };
 };
 
 /** A call to a host and its answer. */
@@ -119,6 +121,7 @@
     // State.
 
     VirtualStore &store();
+    VirtualAdmission &admission();
     VirtualWorker &worker(const WorkerId &worker);
     InvariantChecker &judge();
     [[nodiscard]] std::vector<HostId> hosts() const;
@@ -165,6 +168,8 @@
         KvWatch request;
         std::function<void(const KvResult &)> reply;
         std::shared_ptr<bool> isDropped = std::make_shared<bool>(false);
+        /** State of the store in which the watch had nothing to report. */
+        std::optional<std::pair<StoreRevision, bool>> checked {};
     };
     struct HeldPoll
     {
@@ -202,6 +207,8 @@
     OrderChannel openOrderChannel(const Host &host, std::uint64_t process, WorkerNode &node);
     void arriveAtWorker(Host &host, const WorkerId &worker, const WorkerOrder &order,
                         const JobDriver::WorkerHandler &then);
+    void askAdmission(Host &host, std::uint64_t process, const StepRef &step, const std::vector<WorkerId> &workers,
+                      Milliseconds timeout, const JobDriver::AdmissionHandler &then);
     void sendPeer(Host &host, const HostId &to, const JobMessage &message);
     Host &find(const HostId &host) const;
     WorkerNode &workerNode(const WorkerId &worker) const;
@@ -216,6 +223,7 @@
     std::uint64_t m_order = 0;
     std::priority_queue<Event> m_events;
     VirtualStore m_store;
+    VirtualAdmission m_admission;
     InvariantChecker m_judge;
     SiteConfiguration m_configuration;
     std::vector<std::unique_ptr<Host>> m_hosts;
--- a/tests/libjobs/virtualsitewires.cpp
+++ b/tests/libjobs/virtualsitewires.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-constexpr Milliseconds admissionDelay { 50 };
-constexpr Milliseconds admissionValidity { 3000 };
-
 /** Whether the order goes over the connections for orders, not over the one for polls. */
 bool usesOrderChannel(const WorkerOrder &order)
 {
@@ -35,18 +32,8 @@
         callWorker(host, process, target, order, timeout, then);
     };
     driver.askAdmission = [this, &host, process](const StepRef &step, const std::vector<WorkerId> &workers,
-                                                 Milliseconds, const JobDriver::AdmissionHandler &then) {
-        at(m_now + admissionDelay, [this, &host, process, step, workers, then] {
-            AdmissionAnswer answer;
-            answer.validity = admissionValidity;
-            for (const WorkerId &worker : workers) {
-                const WorkerEntry &entry = workerNode(worker).worker->entry();
-                if (mayAdmit(step, entry)) {
-                    answer.tickets.emplace(worker, admissionTicket(step, entry));
-                }
-            }
-            deliver(host, process, [then, answer] { then(answer); });
-        });
+                                                 Milliseconds timeout, const JobDriver::AdmissionHandler &then) {
+        askAdmission(host, process, step, workers, timeout, then);
     };
     driver.sendPeer = [this, &host](const HostId &to, const JobMessage &message) {
         sendPeer(host, to, message);
@@ -76,8 +63,43 @@
     return driver;
 }
 
+void VirtualSite::askAdmission(Host &host, std::uint64_t process, const StepRef &step,
+                               const std::vector<WorkerId> &workers, Milliseconds timeout,
+                               const JobDriver::AdmissionHandler &then)
+{
+    const auto answer = [this, &host, process, then](TimePoint when, const AdmissionResult &result) {
+        at(when, [this, &host, process, then, result] { deliver(host, process, [then, result] { then(result); }); });
+    };
+    const TimePoint limit = m_now + timeout;
+    if (m_admission.fault() == AdmissionFault::Silent) {
+        answer(limit, tl::unexpected(AdmissionFailure::NoAnswer));
+        return;
+    }
+    const TimePoint arrival = m_now + latency();
+    const bool isRefusing = m_admission.fault() == AdmissionFault::Refusing;
+    const auto turn = isRefusing ? std::nullopt : m_admission.arrive(host.id, workers.size(), arrival);
+    if (!turn) {
+        answer(arrival + latency(), tl::unexpected(AdmissionFailure::Busy));
+        return;
+    }
+    if (turn->answerAt > limit || m_admission.fault() == AdmissionFault::Malformed) {
+        answer(std::min(turn->answerAt, limit), tl::unexpected(AdmissionFailure::NoAnswer));
+        return;
+    }
+    at(turn->answerAt, [this, answer, turn = *turn, step, workers] {
+        std::vector<WorkerEntry> entries;
+        for (const WorkerId &worker : workers) {
+            entries.push_back(workerNode(worker).worker->entry());
+        }
+        answer(m_now + latency(), m_admission.decide(turn, step, entries));
+    });
+}
+
 void VirtualSite::handleRunEvent(const WorkerRunEvent &event)
 {
+    if (event.kind == WorkerRunEvent::Kind::Started) {
+        m_admission.noteStart(event.ticket);
+    }
     m_judge.noteFact(event);
     const bool endsGang = event.kind == WorkerRunEvent::Kind::Ended && event.isGangMember
         && event.end != ReportedEnd::GangBroken && !m_isEndingGang;
--- a/tests/libjobs/virtualstore.cpp
+++ b/tests/libjobs/virtualstore.cpp
@@ -72,11 +72,18 @@
 
 bool VirtualStore::hasChanges(const KvWatch &watch) const
 {
-    return !m_areWatchesHeld && std::ranges::any_of(m_history, [&watch](const KvEntry &change) {
-        return change.revision > watch.after && change.key.starts_with(watch.prefix);
+    // The history is in order of the revisions.
+    const auto first = std::ranges::upper_bound(m_history, watch.after, {}, &KvEntry::revision);
+    return !m_areWatchesHeld && std::any_of(first, m_history.end(), [&watch](const KvEntry &change) {
+        return change.key.starts_with(watch.prefix);
     });
 }
 
+std::pair<StoreRevision, bool> VirtualStore::watchState() const
+{
+    return { m_revision, m_areWatchesHeld };
+}
+
 bool VirtualStore::isCompacted(const KvWatch &watch) const
 {
     return watch.after < m_compacted;
--- a/tests/libjobs/virtualstore.h
+++ b/tests/libjobs/virtualstore.h
@@ -24,6 +24,8 @@
      * the history, but refuses it at the end of its wait.
      */
     [[nodiscard]] bool hasChanges(const KvWatch &watch) const;
+    /** Changes whenever a watch may have something new to report. */
+    [[nodiscard]] std::pair<StoreRevision, bool> watchState() const;
     /** Whether the history that a watch asks for is compacted. */
     [[nodiscard]] bool isCompacted(const KvWatch &watch) const;
     /** Ends the leases that have expired at @p now and deletes their entries. */
--- a/tests/libjobs/virtualworker.cpp
+++ b/tests/libjobs/virtualworker.cpp
@@ -45,14 +45,20 @@
     return behaviour;
 }
 
-bool mayAdmit(const StepRef &step, const WorkerEntry &worker)
+std::string admissionTicket(const StepRef &step, const WorkerEntry &worker, TimePoint validUntil)
 {
-    return stableHash(step.job.value() + worker.id.value()) % 3 != 0;
+    return describe(TaskRef { step, 0 }) + "@" + worker.id.value() + "/" + std::to_string(worker.life.value()) + "/"
+        + std::to_string(validUntil.time_since_epoch().count());
 }
 
-std::string admissionTicket(const StepRef &step, const WorkerEntry &worker)
+bool isValidTicket(const std::string &ticket, const StepRef &step, const WorkerEntry &worker, TimePoint now)
 {
-    return describe(TaskRef { step, 0 }) + "@" + worker.id.value() + "/" + std::to_string(worker.life.value());
+    const std::size_t separator = ticket.rfind('/');
+    if (separator == std::string::npos) {
+        return false;
+    }
+    const TimePoint validUntil { Milliseconds(std::stoll(ticket.substr(separator + 1))) };
+    return ticket == admissionTicket(step, worker, validUntil) && now <= validUntil;
 }
 
 VirtualWorker::VirtualWorker(WorkerEntry entry, TimePoint startedAt, Milliseconds clockOffset,
@@ -123,7 +129,7 @@
     Run run;
     run.behaviour = parseBehaviour(order.payload);
     const StepRef &step = order.run.task.step;
-    if (run.behaviour.needsTicket && (!mayAdmit(step, m_entry) || order.ticket != admissionTicket(step, m_entry))) {
+    if (run.behaviour.needsTicket && !isValidTicket(order.ticket, step, m_entry, now)) {
         return refuse(WorkerFailure::NoAdmission, now);
     }
     extendLease(order.leaseUntil, now);
@@ -137,7 +143,7 @@
         run.endsAt = now + Milliseconds(static_cast<std::int64_t>(work));
     }
     m_onRunEvent({ WorkerRunEvent::Kind::Started, now, m_entry.id, order.run, ReportedEnd::Done, false, order.payload,
-                   order.resumeFrom, false });
+                   order.resumeFrom, false, order.ticket });
     m_runs.emplace(order.run, run);
     return answer(now);
 }
--- a/tests/libjobs/virtualworker.h
+++ b/tests/libjobs/virtualworker.h
@@ -30,10 +30,10 @@
 /** Parses a payload such as `work=700 fail=1 tail=12 startup=100 gang=3 ticket=1`; each argument is optional. */
 TaskBehaviour parseBehaviour(const std::string &payload);
 
-/** Whether the simulated policy admits a step on a worker. */
-bool mayAdmit(const StepRef &step, const WorkerEntry &worker);
-/** The ticket that a step needs on a worker; it becomes invalid when the worker restarts. */
-std::string admissionTicket(const StepRef &step, const WorkerEntry &worker);
+/** The ticket that a step needs on a worker; it becomes invalid when the worker restarts, and after @p validUntil. */
+std::string admissionTicket(const StepRef &step, const WorkerEntry &worker, TimePoint validUntil);
+/** Whether @p ticket is one for a step on a worker, and valid at @p now. */
+bool isValidTicket(const std::string &ticket, const StepRef &step, const WorkerEntry &worker, TimePoint now);
 
 /** Identifies the runs of one gang. */
 struct GangRef
@@ -62,6 +62,8 @@
     CheckpointId resumeFrom;
     /** Ended: whether the run was a member of a gang. */
     bool isGangMember = false;
+    /** Started: the ticket of the order. */
+    std::string ticket {};
 };
 
 /**
