Let a writer go on without the store only while the other hosts hear it

Cause: a run on a worker that doesn't answer waits for the leases of all former writers. Each new writer assumed that the former one had extended all of them for 3 s after the claim, so 7.7 s passed from the loss of each writer with its host, and each further loss began the wait anew.

Change: heartbeats say what was heard last. A writer whose claim isn't confirmed goes on for 3 s as before while all hosts that it hears hear it, and for 0.5 s otherwise. A host that the writer knew to listen so waits for 5.2 s.

--- a/src/libjobs/entryhosts.cpp
+++ b/src/libjobs/entryhosts.cpp
@@ -8,7 +8,10 @@
 
 /** A host without a heartbeat for this time is considered unreachable. */
 constexpr Milliseconds hostTimeout { 1200 };
-/** A host without a heartbeat for this time is removed. */
+/**
+ * A host without a heartbeat for this time is removed. Longer than the time for which a host relies on being heard by
+ * the writer, see LeaseSuccession.
+ */
 constexpr Milliseconds hostRemovalDelay { 10'000 };
 /** A large configuration takes this long to a host with a slow link. */
 constexpr Milliseconds offerInterval { 1500 };
@@ -88,6 +91,28 @@
     return ids;
 }
 
+std::optional<HeardHeartbeat> EntryHosts::heardFrom(const HostId &id, TimePoint now) const
+{
+    const auto known = m_hosts.find(id);
+    if (known == m_hosts.end() || !isReachable(known->second, now)) {
+        return std::nullopt;
+    }
+    return HeardHeartbeat { known->second.beat.nonce, known->second.beat.sentAt };
+}
+
+std::optional<HeartbeatTime> EntryHosts::heardByAll(WriterToken token) const
+{
+    std::optional<HeartbeatTime> earliest;
+    for (const auto &[id, host] : m_hosts) {
+        if (host.lastHeartbeatAt) {
+            const HeartbeatTime heard =
+                host.beat.writer == token ? host.beat.heard.value_or(HeartbeatTime(0)) : HeartbeatTime(0);
+            earliest = std::min(earliest.value_or(heard), heard);
+        }
+    }
+    return earliest;
+}
+
 bool EntryHosts::isReachable(const EntryHost &host, TimePoint now)
 {
     return host.lastHeartbeatAt && now - *host.lastHeartbeatAt < hostTimeout;
--- a/src/libjobs/entryhosts.h
+++ b/src/libjobs/entryhosts.h
@@ -31,6 +31,13 @@
     std::vector<HostId> removeAll();
 
     [[nodiscard]] std::vector<HostId> hosts() const;
+    /** The last heartbeat of the host, if it is reachable. */
+    [[nodiscard]] std::optional<HeardHeartbeat> heardFrom(const HostId &host, TimePoint now) const;
+    /**
+     * When the writer with @p token sent the last heartbeat that each host that it hears has heard, as they say;
+     * nullopt when it hears none.
+     */
+    [[nodiscard]] std::optional<HeartbeatTime> heardByAll(WriterToken token) const;
     /** Whether at least half of the hosts that have sent heartbeats still do; with no heartbeat, whether none is known.
      */
     [[nodiscard]] bool reachesMost(TimePoint now) const;
--- a/src/libjobs/jobmessage.cpp
+++ b/src/libjobs/jobmessage.cpp
@@ -47,18 +47,24 @@
     }
 }
 
+json encodeTime(const std::optional<HeartbeatTime> &time)
+{
+    return time ? json(time->value()) : json();
+}
+
 struct Encoder
 {
     json operator()(const HostHeartbeat &beat) const
     {
         return json::array({ HostHeartbeatKind, beat.address.value(), beat.configuration.value(), beat.storeAge.count(),
                              beat.uptime.count(), beat.processors.value(), beat.isLeaving, beat.nonce,
-                             beat.writer.value() });
+                             beat.writer.value(), beat.sentAt.value(), encodeTime(beat.heard) });
     }
     json operator()(const WriterHeartbeat &beat) const
     {
         return json::array({ WriterHeartbeatKind, beat.token.value(), beat.address.value(), beat.configuration.value(),
-                             beat.isStuck, beat.mostProcessors.value() });
+                             beat.isStuck, beat.mostProcessors.value(), beat.sentAt.value(),
+                             beat.heard ? beat.heard->nonce : 0, beat.heard ? beat.heard->sentAt.value() : 0 });
     }
     json operator()(const ConfigurationOffer &offer) const
     {
@@ -98,6 +104,11 @@
     return Milliseconds(value);
 }
 
+HeartbeatTime heartbeatTime(const json &source)
+{
+    return HeartbeatTime(milliseconds(source).count());
+}
+
 template<typename Enum>
 Enum enumValue(const json &source, Enum last)
 {
@@ -110,6 +121,8 @@
 
 /** Fields from this place on are missing in messages of older versions. */
 constexpr std::size_t nonceOfHeartbeat = 7;
+constexpr std::size_t sentAtOfHeartbeat = 9;
+constexpr std::size_t sentAtOfWriterHeartbeat = 6;
 constexpr std::size_t leasesOfHandOver = 2;
 
 HostHeartbeat decodeHostHeartbeat(const json &source)
@@ -126,6 +139,29 @@
         beat.nonce = source.at(nonceOfHeartbeat).get<std::uint64_t>();
         beat.writer = WriterToken(source.at(nonceOfHeartbeat + 1).get<std::uint64_t>());
     }
+    if (source.size() > sentAtOfHeartbeat) {
+        beat.sentAt = heartbeatTime(source.at(sentAtOfHeartbeat));
+        const json &heard = source.at(sentAtOfHeartbeat + 1);
+        beat.heard = heard.is_null() ? std::nullopt : std::optional(heartbeatTime(heard));
+    }
+    return beat;
+}
+
+WriterHeartbeat decodeWriterHeartbeat(const json &source)
+{
+    WriterHeartbeat beat { WriterToken(source.at(1).get<std::uint64_t>()),
+                           Address(source.at(2).get<std::string>()),
+                           ConfigurationVersion(source.at(3).get<std::uint64_t>()),
+                           source.at(4).get<bool>(),
+                           Millicores(source.at(5).get<std::int64_t>()),
+                           {},
+                           {} };
+    if (source.size() > sentAtOfWriterHeartbeat) {
+        beat.sentAt = heartbeatTime(source.at(sentAtOfWriterHeartbeat));
+        const auto nonce = source.at(sentAtOfWriterHeartbeat + 1).get<std::uint64_t>();
+        const HeartbeatTime heardAt = heartbeatTime(source.at(sentAtOfWriterHeartbeat + 2));
+        beat.heard = nonce == 0 ? std::nullopt : std::optional(HeardHeartbeat { nonce, heardAt });
+    }
     return beat;
 }
 
@@ -157,10 +193,7 @@
     case HostHeartbeatKind:
         return decodeHostHeartbeat(source);
     case WriterHeartbeatKind:
-        return WriterHeartbeat { WriterToken(source.at(1).get<std::uint64_t>()),
-                                 Address(source.at(2).get<std::string>()),
-                                 ConfigurationVersion(source.at(3).get<std::uint64_t>()), source.at(4).get<bool>(),
-                                 Millicores(source.at(5).get<std::int64_t>()) };
+        return decodeWriterHeartbeat(source);
     case OfferKind: {
         const json::binary_t &text = source.at(1).get_binary();
         return ConfigurationOffer { std::string(text.begin(), text.end()) };
--- a/src/libjobs/jobmessage.h
+++ b/src/libjobs/jobmessage.h
@@ -13,6 +13,17 @@
 /** Identifies a forwarded call among those of the sending process. */
 using ForwardNumber = Strong<std::uint64_t, struct ForwardNumberTag>;
 
+/** When a heartbeat was sent, on its sender's clock; the receiver returns it, which tells the sender what was heard. */
+using HeartbeatTime = Strong<std::int64_t, struct HeartbeatTimeTag>;
+
+/** The last heartbeat that the writer has heard of a host. */
+struct HeardHeartbeat
+{
+    /** The process that sent it. */
+    std::uint64_t nonce = 0;
+    HeartbeatTime sentAt;
+};
+
 /** Heartbeat of a host to the writer. */
 struct HostHeartbeat
 {
@@ -30,6 +41,9 @@
     std::uint64_t nonce = 0;
     /** The writer whose claim the host follows; 0 in heartbeats of older versions. */
     WriterToken writer;
+    HeartbeatTime sentAt {};
+    /** The last heartbeat of that writer that the host has heard; nullopt if there is none, or if it may replace it. */
+    std::optional<HeartbeatTime> heard {};
 };
 
 /** The writer's answer to a heartbeat, also sent as its announcement after a takeover. */
@@ -42,6 +56,9 @@
     bool isStuck = false;
     /** Processor capacity of the largest other host from which the writer receives heartbeats. */
     Millicores mostProcessors;
+    HeartbeatTime sentAt {};
+    /** The receiver's last heartbeat; nullopt when it wasn't heard lately, and in messages of older versions. */
+    std::optional<HeardHeartbeat> heard {};
 };
 
 /** A configuration that the receiver doesn't have yet, in its stored form. */
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -22,8 +22,12 @@
 constexpr Milliseconds longWatchWait { 8000 };
 /** Short enough for a version to reach all hosts within 3 s when the store leaves the writer's watch unanswered. */
 constexpr Milliseconds shortWatchWait { 1500 };
-/** How long a writer may extend workers' leases after the store last confirmed its claim. */
+/** How long a writer may extend workers' leases at most after the store last confirmed its claim. */
 constexpr Milliseconds confirmationTerm { 3000 };
+/** How long it does so if not all other hosts hear it; longer than the interval of its commits and checks. */
+constexpr Milliseconds unsupportedTerm { 500 };
+/** How long all hosts count as hearing the writer after one of its heartbeats; spans several heartbeat intervals. */
+constexpr Milliseconds supportTerm { 1500 };
 constexpr Milliseconds registerTimeout { 1500 };
 constexpr Milliseconds retryDelay { 300 };
 /** Time in which other hosts read a new configuration from the store, before the writer sends it to them. */
@@ -50,7 +54,7 @@
                    m_options.peerAddress,
                    m_options.nonce,
                    m_options.processors,
-                   { m_options.timing.lease, confirmationTerm, {} },
+                   { m_options.timing.lease, confirmationTerm, {}, HostSupport { unsupportedTerm, supportTerm } },
                    m_options.timing.longestLease,
                    std::max(m_options.shortestStoreLease, Milliseconds(1000)) },
                  context,
@@ -150,34 +154,51 @@
     if (m_writer) {
         sendWriterHeartbeats();
     } else if (m_election.claim()) {
-        const TimePoint storeAnswer = m_election.lastStoreAnswer().value_or(m_startedAt);
-        m_context.sendPeer(
-            m_election.claim()->host,
-            HostHeartbeat { m_options.peerAddress, m_configuration ? m_configuration->version : ConfigurationVersion(0),
-                            m_context.now() - storeAnswer, m_context.now() - m_startedAt, m_options.processors,
-                            m_isStopping || isUnsuited, m_options.nonce, m_election.claim()->token });
+        sendHostHeartbeat();
     }
     m_configurationWatch.setWait(isWriterReachable() ? longWatchWait : shortWatchWait);
     m_context.schedule(heartbeatInterval, m_lifetime.guard([this] { sendHeartbeats(); }));
 }
 
+void JobNode::sendHostHeartbeat()
+{
+    const TimePoint storeAnswer = m_election.lastStoreAnswer().value_or(m_startedAt);
+    m_context.sendPeer(
+        m_election.claim()->host,
+        HostHeartbeat { m_options.peerAddress, m_configuration ? m_configuration->version : ConfigurationVersion(0),
+                        m_context.now() - storeAnswer, m_context.now() - m_startedAt, m_options.processors,
+                        m_isStopping || m_suitability.isUnsuited(m_context.now()), m_options.nonce,
+                        m_election.claim()->token, heartbeatTime(), heardWriterHeartbeat() });
+}
+
+HeartbeatTime JobNode::heartbeatTime() const
+{
+    return HeartbeatTime(m_context.now().time_since_epoch().count());
+}
+
+/** A host that may replace the writer doesn't say that it hears it, as the writer would go on for longer then. */
+std::optional<HeartbeatTime> JobNode::heardWriterHeartbeat() const
+{
+    const WriterToken token = m_election.claim()->token;
+    const bool isHeard = m_heardWriter && m_heardWriter->first == token && !m_election.mayReplace(token);
+    return isHeard ? std::optional(m_heardWriter->second) : std::nullopt;
+}
+
+std::optional<TimePoint> JobNode::heardByAll() const
+{
+    const std::optional<HeartbeatTime> heard = m_hosts.heardByAll(m_election.claim()->token);
+    return heard ? std::optional(TimePoint(Milliseconds(heard->value()))) : std::nullopt;
+}
+
 void JobNode::sendWriterHeartbeats()
 {
     for (const HostId &host : m_hosts.removeSilent(m_context.now())) {
         m_context.linkPeer(host, std::nullopt);
     }
-    const bool isSettling = m_context.now() - m_claimedAt < peerSettleTime;
-    m_election.setYielding(!isSettling && !m_hosts.reachesMost(m_context.now()));
-    Millicores largest = m_hosts.largestProcessors(m_context.now());
-    if (isSettling) {
-        // The other hosts haven't been heard yet; the former writer has told their size.
-        largest = std::max(largest, m_election.largestHostProcessors().value_or(Millicores(0)));
-    }
-    const WriterHeartbeat beat { WriterToken(m_election.claim()->token), m_options.peerAddress,
-                                 m_configuration ? m_configuration->version : ConfigurationVersion(0),
-                                 m_writer->commitAge() > stuckCommitAge, largest };
+    m_election.setYielding(!isSettling() && !m_hosts.reachesMost(m_context.now()));
+    const Millicores largest = largestHostProcessors();
     for (const HostId &host : m_hosts.hosts()) {
-        m_context.sendPeer(host, beat);
+        sendWriterHeartbeat(host, largest);
     }
     yieldIfUnsuited();
     if (m_writer) {
@@ -185,6 +206,28 @@
     }
 }
 
+void JobNode::sendWriterHeartbeat(const HostId &host, Millicores largest)
+{
+    m_context.sendPeer(host,
+                       WriterHeartbeat { WriterToken(m_election.claim()->token), m_options.peerAddress,
+                                         m_configuration ? m_configuration->version : ConfigurationVersion(0),
+                                         m_writer->commitAge() > stuckCommitAge, largest, heartbeatTime(),
+                                         m_hosts.heardFrom(host, m_context.now()) });
+}
+
+/** Whether the other hosts may not have had time to connect to this writer. */
+bool JobNode::isSettling() const
+{
+    return m_context.now() - m_claimedAt < peerSettleTime;
+}
+
+Millicores JobNode::largestHostProcessors() const
+{
+    const Millicores largest = m_hosts.largestProcessors(m_context.now());
+    // While the other hosts haven't been heard, what the former writer has told counts.
+    return isSettling() ? std::max(largest, m_election.largestHostProcessors().value_or(Millicores(0))) : largest;
+}
+
 void JobNode::yieldIfUnsuited()
 {
     if (m_isHandingOver || m_isStopping || !m_writer->isActive()) {
@@ -232,10 +275,11 @@
     options.token = token;
     options.timing = m_options.timing;
     options.confirmationTerm = confirmationTerm;
+    options.support = { unsupportedTerm, supportTerm };
     options.inherited = inherited;
     m_writer = std::make_unique<JobWriter>(
         m_layout, options, m_options.nonce, m_formats, m_context,
-        JobWriter::Handlers { [this] { return m_configuration; },
+        JobWriter::Handlers { [this] { return m_configuration; }, [this] { return heardByAll(); },
                               [this] {
                                   m_context.schedule(Milliseconds(0), m_lifetime.guard([this] { handleSuperseded(); }));
                               } });
@@ -286,6 +330,7 @@
                                 const HostId host = StoreLayout::hostOf(entry.key);
                                 if (host != m_options.self && m_writer && m_hosts.add(host, Address(entry.value))) {
                                     m_context.linkPeer(host, Address(entry.value));
+                                    sendWriterHeartbeat(host, largestHostProcessors());
                                 }
                             }
                             if (result->hasMore && !result->entries.empty()) {
@@ -346,6 +391,10 @@
     if (m_hosts.recordHeartbeat(from, beat, m_context.now())) {
         m_context.linkPeer(from, beat.address);
     }
+    if (isNew) {
+        // Until a host knows that it is heard, it would wait for longer if it had to replace this writer.
+        sendWriterHeartbeat(from, largestHostProcessors());
+    }
     const bool isBehind = m_configuration && beat.configuration < m_configuration->version && !isNew;
     // A host that reaches the store reads the version there, as the heartbeats announce it.
     const bool hadTimeToRead = m_context.now() - m_configurationSince >= offerDelay;
@@ -361,6 +410,14 @@
     if (!isKnown || m_writer) {
         return;
     }
+    const bool isHeard = beat.heard && beat.heard->nonce == m_options.nonce;
+    m_election.recordContact(
+        beat.token, isHeard ? std::optional(TimePoint(Milliseconds(beat.heard->sentAt.value()))) : std::nullopt);
+    const bool isFirst = !m_heardWriter || m_heardWriter->first != beat.token;
+    m_heardWriter = { beat.token, beat.sentAt };
+    if (isFirst) {
+        sendHostHeartbeat();
+    }
     m_election.setLargestHostProcessors(beat.mostProcessors);
     const bool wasReachable = isWriterReachable();
     m_lastWriterHeartbeatAt = m_context.now();
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -65,7 +65,15 @@
     void applyConfiguration(const std::string &text, std::string_view source);
     void registerHost();
     void sendHeartbeats();
+    void sendHostHeartbeat();
     void sendWriterHeartbeats();
+    void sendWriterHeartbeat(const HostId &host, Millicores largest);
+    [[nodiscard]] bool isSettling() const;
+    [[nodiscard]] Millicores largestHostProcessors() const;
+    [[nodiscard]] HeartbeatTime heartbeatTime() const;
+    [[nodiscard]] std::optional<HeartbeatTime> heardWriterHeartbeat() const;
+    /** When this writer sent the last heartbeat that all hosts have heard; nullopt when it hears no host. */
+    [[nodiscard]] std::optional<TimePoint> heardByAll() const;
     void handleClaimed(WriterToken token, const InheritedLeases &inherited);
     void limitInheritedLeases(TimePoint until);
     void handleSuperseded();
@@ -106,6 +114,8 @@
     EntryHosts m_hosts;
     /** Last heartbeat from the holder of the current claim. */
     std::optional<TimePoint> m_lastWriterHeartbeatAt;
+    /** The last heartbeat of a writer, with its token. */
+    std::optional<std::pair<WriterToken, HeartbeatTime>> m_heardWriter;
     std::optional<HostId> m_linkedWriter;
     WriterSuitability m_suitability;
     bool m_isStopping = false;
--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -8,8 +8,11 @@
 
 namespace {
 
-/** Interval at which an idle writer checks its claim in the store. */
-constexpr Milliseconds confirmInterval { 1000 };
+/** Age of the last confirmation at which an idle writer checks its claim in the store. */
+constexpr Milliseconds confirmAge { 1000 };
+/** The same for a writer that isn't heard by all hosts, which may go on only briefly without a confirmation. */
+constexpr Milliseconds unsupportedConfirmAge { 200 };
+constexpr Milliseconds confirmCheckInterval { 150 };
 constexpr Milliseconds retryAfter { 1000 };
 /** Without a confirmation of the claim for this time, another host may have been the writer, and counts be wrong. */
 constexpr Milliseconds maxCountAge { 2000 };
@@ -45,13 +48,13 @@
     m_context.log(LogLevel::Info, events::shardActive,
                   { { "token", std::to_string(m_options.token.value()) },
                     { "jobs", std::to_string(m_log.table().jobs().size()) } });
-    m_controller =
-        std::make_unique<RunController>(m_options, std::move(m_formats), m_log, m_context,
-                                        RunController::Handlers { m_handlers.configuration, [this] {
-                                                                     // A refusal by a worker doesn't prove a newer
-                                                                     // writer; the claim in the store does.
-                                                                     m_log.checkWriter([](WriterCheck /*check*/) {});
-                                                                 } });
+    m_controller = std::make_unique<RunController>(
+        m_options, std::move(m_formats), m_log, m_context,
+        RunController::Handlers { m_handlers.configuration, m_handlers.heardByAll, [this] {
+                                     // A refusal by a worker doesn't prove a newer
+                                     // writer; the claim in the store does.
+                                     m_log.checkWriter([](WriterCheck /*check*/) {});
+                                 } });
     m_controller->begin();
     for (const auto &[call, then] : std::exchange(m_waiting, {})) {
         handle(call, then);
@@ -61,8 +64,9 @@
 
 void JobWriter::scheduleWriterCheck()
 {
-    m_context.schedule(confirmInterval, m_lifetime.guard([this] {
-        if (m_context.now() - m_log.lastConfirmed() >= confirmInterval) {
+    m_context.schedule(confirmCheckInterval, m_lifetime.guard([this] {
+        const Milliseconds due = m_controller->isSupported() ? confirmAge : unsupportedConfirmAge;
+        if (m_context.now() - m_log.lastConfirmed() >= due) {
             m_log.checkWriter([](WriterCheck /*check*/) {});
         }
         scheduleWriterCheck();
--- a/src/libjobs/jobwriter.h
+++ b/src/libjobs/jobwriter.h
@@ -25,6 +25,8 @@
     struct Handlers
     {
         std::function<std::shared_ptr<const SiteConfiguration>()> configuration;
+        /** When this writer sent the last heartbeat that all hosts have heard; nullopt when it hears no host. */
+        std::function<std::optional<TimePoint>()> heardByAll;
         /** Another host has claimed the shard. The handler must not destroy the object during this call. */
         std::function<void()> onLost;
     };
--- a/src/libjobs/leasesuccession.cpp
+++ b/src/libjobs/leasesuccession.cpp
@@ -7,6 +7,16 @@
 
 namespace currantring {
 
+namespace {
+
+/**
+ * How long a host relies on having been heard by the writer. Shorter than the time after which a writer removes a
+ * silent host, and goes on without being heard by it; see EntryHosts.
+ */
+constexpr Milliseconds heardTerm { 8000 };
+
+} // namespace
+
 LeaseSuccession::LeaseSuccession(HostId self, std::uint64_t nonce, LeaseTerms own, Milliseconds longestLease,
                                  TimePoint startedAt)
     : m_self(std::move(self))
@@ -22,6 +32,21 @@
     m_former = Former { claim, now };
 }
 
+void LeaseSuccession::noteHeartbeat(WriterToken token, std::optional<TimePoint> heardAt, TimePoint now)
+{
+    if (!m_contact || m_contact->token != token) {
+        m_contact = Contact { token, now, heardAt };
+        return;
+    }
+    m_contact->heartbeatAt = now;
+    m_contact->heardAt = std::max(m_contact->heardAt, heardAt);
+}
+
+bool LeaseSuccession::wasHeardBy(WriterToken token, TimePoint now) const
+{
+    return m_contact && m_contact->token == token && m_contact->heardAt && now - *m_contact->heardAt < heardTerm;
+}
+
 void LeaseSuccession::noteSettled(WriterToken token)
 {
     m_settled = token;
@@ -34,7 +59,7 @@
 
 LeaseTerms LeaseSuccession::termsFor(StoreRevision replaced, TimePoint now) const
 {
-    return { m_own.lease, m_own.confirmation, inheritedTerm(replaced, now) };
+    return { m_own.lease, m_own.confirmation, inheritedTerm(replaced, now), m_own.support };
 }
 
 /** Longest time that a lease with these terms may be valid after it was granted. */
@@ -59,12 +84,21 @@
         const LeaseTerms &terms = *m_former->claim.leases;
         const bool isEnded = m_former->claim.host == m_self && m_former->claim.nonce != m_nonce;
         const Milliseconds granted =
-            isEnded ? longestOf(terms) - (now - m_startedAt) : terms.confirmation + longestOf(terms);
+            isEnded ? longestOf(terms) - (now - m_startedAt) : extensionTerm(terms, now) + longestOf(terms);
         term = std::max(granted, earlierTerm(terms, now));
     }
     return std::max(term, Milliseconds(0));
 }
 
+Milliseconds LeaseSuccession::extensionTerm(const LeaseTerms &terms, TimePoint now) const
+{
+    if (!terms.support || !wasHeardBy(m_former->claim.token, now)) {
+        return terms.confirmation;
+    }
+    const Milliseconds supported = m_contact->heartbeatAt + terms.support->term - now;
+    return std::min(std::max(terms.support->unsupported, supported), terms.confirmation);
+}
+
 Milliseconds LeaseSuccession::earlierTerm(const LeaseTerms &terms, TimePoint now) const
 {
     if (m_settled == m_former->claim.token) {
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -113,7 +113,14 @@
 
 bool RunController::mayExtendLease() const
 {
-    return m_context.now() - m_log.lastConfirmed() < m_options.confirmationTerm;
+    const Milliseconds age = m_context.now() - m_log.lastConfirmed();
+    return age < m_options.support.unsupported || (age < m_options.confirmationTerm && isSupported());
+}
+
+bool RunController::isSupported() const
+{
+    const std::optional<TimePoint> heardAt = m_handlers.heardByAll();
+    return !heardAt || m_context.now() - *heardAt < m_options.support.term;
 }
 
 void RunController::begin()
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -35,13 +35,17 @@
         WorkerTiming timing;
         /** Leases that earlier writers may have granted. */
         InheritedLeases inherited;
-        /** How long the writer may extend leases after its last confirmation. */
+        /** How long the writer may extend leases at most after its last confirmation. */
         Milliseconds confirmationTerm {};
+        /** What it needs of the other hosts for that. */
+        HostSupport support;
     };
     struct Handlers
     {
         /** Returns the active configuration, or null if there is none. */
         std::function<std::shared_ptr<const SiteConfiguration>()> configuration;
+        /** When this writer sent the last heartbeat that all hosts have heard; nullopt when it hears no host. */
+        std::function<std::optional<TimePoint>()> heardByAll;
         std::function<void()> onFenced;
     };
 
@@ -58,6 +62,8 @@
     void reconsider();
     /** Lowers the bounds on the leases that earlier writers may have granted. */
     void limitInherited(TimePoint until);
+    /** Whether all other hosts hear this writer, so that it may extend leases for longer without the store. */
+    [[nodiscard]] bool isSupported() const;
     /** Whether the job is being closed and the record of that isn't committed yet. */
     [[nodiscard]] bool isClosing(const JobId &job) const;
     [[nodiscard]] const WorkerFleet &fleet() const;
--- a/src/libjobs/writerclaim.cpp
+++ b/src/libjobs/writerclaim.cpp
@@ -37,7 +37,13 @@
     if (!lease || !confirmation || !inherited) {
         return std::nullopt;
     }
-    return LeaseTerms { *lease, *confirmation, *inherited };
+    LeaseTerms terms { *lease, *confirmation, *inherited, {} };
+    const std::optional<Milliseconds> unsupported = decodeTerm(source, "unsupported_ms");
+    const std::optional<Milliseconds> support = decodeTerm(source, "support_ms");
+    if (unsupported && support) {
+        terms.support = HostSupport { *unsupported, *support };
+    }
+    return terms;
 }
 
 } // namespace
@@ -52,6 +58,10 @@
         object["lease_ms"] = claim.leases->lease.count();
         object["confirmation_ms"] = claim.leases->confirmation.count();
         object["inherited_ms"] = claim.leases->inherited.count();
+        if (claim.leases->support) {
+            object["unsupported_ms"] = claim.leases->support->unsupported.count();
+            object["support_ms"] = claim.leases->support->term.count();
+        }
     }
     return object.dump();
 }
--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds maxClaimDelay { 600 };
 /** Longer than the other hosts need to claim. */
 constexpr Milliseconds reluctantDelay { 2000 };
+/** A host that the writer hasn't heard would wait for longer for its leases; longer than the jitter of the others. */
+constexpr Milliseconds unheardDelay { 200 };
 constexpr Milliseconds claimTimeout { 700 };
 /** A host whose reads take longer would be no improvement on a stuck writer. */
 constexpr Milliseconds probeTimeout { 250 };
@@ -153,6 +155,16 @@
     }
 }
 
+void WriterElection::recordContact(WriterToken token, std::optional<TimePoint> heardAt)
+{
+    m_leases.noteHeartbeat(token, heardAt, m_context.now());
+}
+
+bool WriterElection::mayReplace(WriterToken token) const
+{
+    return m_triedToReplace.value() == token.value();
+}
+
 void WriterElection::setLargestHostProcessors(Millicores processors)
 {
     m_largestHostProcessors = processors;
@@ -187,7 +199,9 @@
     const std::int64_t perProcessor =
         m_largestHostProcessors ? delayPerProcessorBelowLargestMs : delayPerProcessorBelowWholeMs;
     const Milliseconds reluctance = m_isReluctant ? reluctantDelay : Milliseconds(0);
-    return reluctance + m_claimJitter
+    const bool isUnheard =
+        m_claim && m_claim->host != m_options.self && !m_leases.wasHeardBy(m_claim->token, m_context.now());
+    return reluctance + m_claimJitter + (isUnheard ? unheardDelay : Milliseconds(0))
         + std::min(Milliseconds(missing * perProcessor / wholeProcessor.value()), maxClaimDelay);
 }
 
@@ -238,6 +252,7 @@
 void WriterElection::writeClaim(LeaseId lease, StoreRevision replaced)
 {
     m_liveness.setLease(lease);
+    m_triedToReplace = replaced;
     const std::string claim = encodeClaim({ {},
                                             m_options.self,
                                             m_options.address,
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -55,6 +55,13 @@
     void start();
     /** Records a heartbeat of the writer with @p token; probes the store when that writer reports itself as stuck. */
     void recordHeartbeat(WriterToken token, bool isStuck);
+    /**
+     * Records that the writer with @p token is heard; @p heardAt: when this process sent the heartbeat that the writer
+     * names as heard.
+     */
+    void recordContact(WriterToken token, std::optional<TimePoint> heardAt);
+    /** Whether this process has tried to replace the writer with @p token; that may still take effect. */
+    [[nodiscard]] bool mayReplace(WriterToken token) const;
     /** Sets the processor capacity of the largest host that may succeed the writer. */
     void setLargestHostProcessors(Millicores processors);
     [[nodiscard]] std::optional<Millicores> largestHostProcessors() const;
@@ -110,6 +117,8 @@
     std::optional<TimePoint> m_readableSince;
     /** Fencing token of this host while it is the writer. */
     std::optional<WriterToken> m_token;
+    /** The claim that this process has last tried to replace. */
+    StoreRevision m_triedToReplace;
     bool m_isClaiming = false;
     bool m_isProbing = false;
     bool m_isRetired = false;
--- a/tests/libjobs/testlastingrestarts.cpp
+++ b/tests/libjobs/testlastingrestarts.cpp
@@ -18,13 +18,17 @@
 constexpr Milliseconds watchTime { 40'000 };
 constexpr std::uint64_t seeds = 60;
 
+/** What becomes of a host whose process ends. */
+enum class EndedHost { Returns, IsReplaced };
+
 /** Injects disturbances that lose starts at random times, and notes when the last one ended. */
 class Disturbances
 {
 public:
-    Disturbances(VirtualSite &site, std::uint64_t seed)
+    Disturbances(VirtualSite &site, std::uint64_t seed, EndedHost endedHost)
         : m_site(site)
         , m_random(seed)
+        , m_endedHost(endedHost)
     {
     }
 
@@ -120,6 +124,12 @@
         } else {
             m_site.stopHost(*writer);
         }
+        if (m_endedHost == EndedHost::IsReplaced) {
+            // The new host isn't waited for: the calm is counted from the end of the old one.
+            end(Milliseconds(0), [] {});
+            m_site.after(Milliseconds(1500), [this] { m_site.addHost(); });
+            return;
+        }
         end(Milliseconds(1500), [this, host = *writer] {
             if (!m_site.isAlive(host)) {
                 m_site.restartHost(host);
@@ -129,18 +139,19 @@
 
     VirtualSite &m_site;
     Random m_random;
+    EndedHost m_endedHost;
     TimePoint m_lastEnd {};
 };
 
 /** Plays random disturbances; returns a description of each task that was away for too long. */
-std::vector<std::string> play(std::uint64_t seed)
+std::vector<std::string> play(std::uint64_t seed, EndedHost endedHost)
 {
     VirtualSite site({ .seed = seed, .workers = 7 });
     site.run(startTime);
     const JobSpec lasting = lastingJob(seed, 6);
     BOOST_REQUIRE(site.submit(lasting));
     site.run(Milliseconds(2000));
-    Disturbances disturbances(site, seed);
+    Disturbances disturbances(site, seed, endedHost);
     disturbances.schedule();
     std::vector<TimePoint> lastRun(lasting.steps.front().count, site.now());
     std::vector<std::string> away(lastRun.size());
@@ -173,7 +184,17 @@
 BOOST_AUTO_TEST_CASE(tasksAreBackInTimeWhenTheirNextStartsAreLost)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        for (const std::string &text : play(seed)) {
+        for (const std::string &text : play(seed, EndedHost::Returns)) {
+            BOOST_ERROR("seed " << seed << ": " << text);
+        }
+    }
+}
+
+/** Each writer that was lost for good made the next one wait for leases anew, longer than a task may be away. */
+BOOST_AUTO_TEST_CASE(tasksAreBackInTimeWhenHostsAreReplaced)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        for (const std::string &text : play(seed, EndedHost::IsReplaced)) {
             BOOST_ERROR("seed " << seed << ": " << text);
         }
     }
--- a/tests/libjobs/testmalformed.cpp
+++ b/tests/libjobs/testmalformed.cpp
@@ -79,7 +79,7 @@
     const std::vector<std::string> sent = messages();
     const std::string stored = slot();
     const std::string claim = encodeClaim({ WriterToken(1), HostId("h"), Address("a"), 5, StoreRevision(3),
-                                            LeaseTerms { Milliseconds(1), Milliseconds(2), Milliseconds(3) } });
+                                            LeaseTerms { Milliseconds(1), Milliseconds(2), Milliseconds(3), {} } });
     const std::string knowledge = R"([[["image",10,20]],[["a","b",1,2]]])";
     std::size_t read = 0;
     for (std::size_t round = 0; round < rounds; ++round) {
--- a/tests/libjobs/testsuccession.cpp
+++ b/tests/libjobs/testsuccession.cpp
@@ -31,8 +31,12 @@
 
 WriterClaim formerClaim(const HostId &host = former, Milliseconds inherited = Milliseconds(0))
 {
-    return { WriterToken(formerRevision.value()),          host, Address("10.0.0.1:1"), formerNonce, StoreRevision(3),
-             LeaseTerms { lease, confirmation, inherited } };
+    return { WriterToken(formerRevision.value()),
+             host,
+             Address("10.0.0.1:1"),
+             formerNonce,
+             StoreRevision(3),
+             LeaseTerms { lease, confirmation, inherited, {} } };
 }
 
 /** This host's claim over the former writer's, with the terms that it would write at @p now. */
@@ -165,16 +169,64 @@
     BOOST_TEST(!succession.limitByProcess(overAnother, former, 6, restart, now).has_value());
 }
 
+/** What a silent writer may have done depends on whether it knew that this host listens. */
+BOOST_AUTO_TEST_CASE(silenceOfAWriterThatHeardThisHostShortensTheWait)
+{
+    constexpr HostSupport support { Milliseconds(500), Milliseconds(1500) };
+    const TimePoint beatAt = startedAt + Milliseconds(10'000);
+    const auto waitAfter = [&](Milliseconds silence, bool isHeard, bool hasSupport, WriterToken token) {
+        LeaseSuccession succession = makeSuccession();
+        WriterClaim claim = formerClaim();
+        if (hasSupport) {
+            claim.leases->support = support;
+        }
+        succession.noteClaim(claim, startedAt);
+        const auto heardAt = isHeard ? std::optional(beatAt - Milliseconds(300)) : std::nullopt;
+        succession.noteHeartbeat(token, heardAt, beatAt);
+        return succession.termsFor(formerRevision, beatAt + silence).inherited;
+    };
+    const WriterToken token(formerRevision.value());
+    const Milliseconds whole = confirmation + granted;
+    BOOST_TEST((waitAfter(Milliseconds(400), true, true, token) == Milliseconds(1100) + granted));
+    BOOST_TEST((waitAfter(Milliseconds(1200), true, true, token) == support.unsupported + granted));
+    BOOST_TEST((waitAfter(Milliseconds(7600), true, true, token) == support.unsupported + granted));
+    BOOST_TEST((waitAfter(Milliseconds(7800), true, true, token) == whole), "the writer may have removed this host");
+    BOOST_TEST((waitAfter(Milliseconds(1200), false, true, token) == whole), "not heard by the writer");
+    BOOST_TEST((waitAfter(Milliseconds(1200), true, false, token) == whole), "a writer of an older version");
+    BOOST_TEST((waitAfter(Milliseconds(1200), true, true, WriterToken(39)) == whole), "heard by another writer");
+
+    WriterClaim claim = formerClaim();
+    claim.leases->support = support;
+    const std::optional<WriterClaim> decoded = decodeText(encodeClaim(claim));
+    BOOST_REQUIRE((decoded && decoded->leases && decoded->leases->support));
+    BOOST_TEST((decoded->leases->support->unsupported == support.unsupported));
+    BOOST_TEST((decoded->leases->support->term == support.term));
+}
+
 BOOST_AUTO_TEST_CASE(messagesOfOlderVersionsAreRead)
 {
     const HostHeartbeat beat {
-        Address("a"),  ConfigurationVersion(2), Milliseconds(3), Milliseconds(4), Millicores(500), true, 9,
-        WriterToken(8)
+        Address("a"),   ConfigurationVersion(2), Milliseconds(3),  Milliseconds(4), Millicores(500), true, 9,
+        WriterToken(8), HeartbeatTime(70),       HeartbeatTime(60)
     };
     const std::optional<JobMessage> same = decodeJobMessage(encodeJobMessage(beat));
     BOOST_REQUIRE((same && std::holds_alternative<HostHeartbeat>(*same)));
     BOOST_TEST(std::get<HostHeartbeat>(*same).nonce == 9U);
     BOOST_TEST((std::get<HostHeartbeat>(*same).writer == WriterToken(8)));
+    BOOST_TEST((std::get<HostHeartbeat>(*same).sentAt == HeartbeatTime(70)));
+    BOOST_TEST((std::get<HostHeartbeat>(*same).heard == HeartbeatTime(60)));
+    const WriterHeartbeat writerBeat { WriterToken(8),
+                                       Address("a"),
+                                       ConfigurationVersion(2),
+                                       false,
+                                       Millicores(500),
+                                       HeartbeatTime(50),
+                                       HeardHeartbeat { 9, HeartbeatTime(40) } };
+    const std::optional<JobMessage> sameWriter = decodeJobMessage(encodeJobMessage(writerBeat));
+    BOOST_REQUIRE((sameWriter && std::holds_alternative<WriterHeartbeat>(*sameWriter)));
+    BOOST_TEST((std::get<WriterHeartbeat>(*sameWriter).sentAt == HeartbeatTime(50)));
+    BOOST_REQUIRE(std::get<WriterHeartbeat>(*sameWriter).heard.has_value());
+    BOOST_TEST((std::get<WriterHeartbeat>(*sameWriter).heard->sentAt == HeartbeatTime(40)));
 
     const auto decodeArray = [](const nlohmann::json &message) {
         std::string bytes;
@@ -184,6 +236,9 @@
     const std::optional<JobMessage> older = decodeArray({ 1, "a", 2, 3, 4, 500, false });
     BOOST_REQUIRE(older.has_value());
     BOOST_TEST(std::get<HostHeartbeat>(*older).nonce == 0U);
+    const std::optional<JobMessage> olderWriter = decodeArray({ 2, 8, "a", 2, false, 500 });
+    BOOST_REQUIRE(olderWriter.has_value());
+    BOOST_TEST(!std::get<WriterHeartbeat>(*olderWriter).heard.has_value());
     const std::optional<JobMessage> olderHandOver = decodeArray({ 6, 44 });
     BOOST_REQUIRE(olderHandOver.has_value());
     BOOST_TEST(!std::get<HandOver>(*olderHandOver).leases.has_value());
@@ -197,8 +252,10 @@
     for (const nlohmann::json &wrong :
          { nlohmann::json { 6, 44, -1, nlohmann::json::array() }, nlohmann::json { 6, 44, 4700 },
            nlohmann::json { 6, 44, 4700, { { "w", -5 } } }, nlohmann::json { 6, 44, 4700, { { 5, 5 } } },
-           nlohmann::json { 6, 44, "x", nlohmann::json::array() },
-           nlohmann::json { 1, "a", 2, 3, 4, 500, false, 9 } }) {
+           nlohmann::json { 6, 44, "x", nlohmann::json::array() }, nlohmann::json { 1, "a", 2, 3, 4, 500, false, 9 },
+           nlohmann::json { 1, "a", 2, 3, 4, 500, false, 9, 8, 70 },
+           nlohmann::json { 1, "a", 2, 3, 4, 500, false, 9, 8, 70, "x" },
+           nlohmann::json { 2, 8, "a", 2, false, 500, 50, 9 } }) {
         BOOST_TEST(!decodeArray(wrong).has_value(), wrong.dump());
     }
 }
