--- a/tests/libjobs/virtualsitewires.cpp
+++ b/tests/libjobs/virtualsitewires.cpp
@@ -88,6 +88,7 @@
     }
     at(turn->answerAt, [this, answer, turn = *turn, step, workers] {
         std::vector<WorkerEntry> entries;
+        entries.reserve(workers.size());
         for (const WorkerId &worker : workers) {
             entries.push_back(workerNode(worker).worker->entry());
         }
