--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -81,8 +81,8 @@
     }
     m_lastPass = m_parts.context.now();
     m_noRoom.clear();
-    m_waitingForTickets.clear();
     placeAnswered();
+    m_waitingForTickets.clear();
     for (const StepRef &step : stepsByUrgency()) {
         placeStep(step);
     }
@@ -120,7 +120,6 @@
         return;
     }
     placeStep(*step);
-    m_waitingForTickets.clear();
     const bool isGang = m_ready.steps().contains(*step) && m_ready.steps().at(*step).step->isGang;
     if (waitingTasksOf(*step) < before) {
         m_admission.noteUse(*step, AdmissionUse::Started);
@@ -198,10 +197,14 @@
     return demand;
 }
 
+bool RunStarter::mayWaitForRack(const ReadyStep &ready) const
+{
+    return m_parts.context.now() - ready.since < std::clamp(ready.step->estimate, minRackWait, maxRackWait);
+}
+
 bool RunStarter::isWaitingForRack(const ReadyStep &ready, const Label &rack) const
 {
-    const Milliseconds rackWait = std::clamp(ready.step->estimate, minRackWait, maxRackWait);
-    return !rack.value().empty() && m_parts.context.now() - ready.since < rackWait;
+    return !rack.value().empty() && mayWaitForRack(ready);
 }
 
 JobUrgency RunStarter::urgencyOfStep(const StepRef &step, const ReadyStep &ready, const QueueEntry &queue) const
@@ -371,9 +374,8 @@
             }
         }
     }
-    const Milliseconds rackWait = std::clamp(ready.step->estimate, minRackWait, maxRackWait);
     const bool maySpanRacks = dataRack.value().empty() && !ready.step->wantsOneRack;
-    const bool mayWait = !maySpanRacks && m_parts.context.now() - ready.since < rackWait;
+    const bool mayWait = !maySpanRacks && mayWaitForRack(ready);
     if (mayWait || !placeGangOn(step, ready, {})) {
         waitForTickets(step, queue);
     }
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -77,6 +77,7 @@
     void placeAnswered();
     void askAdmission();
     [[nodiscard]] std::optional<AdmissionDemand> admissionDemand(const StepRef &step, const ReadyStep &ready) const;
+    [[nodiscard]] bool mayWaitForRack(const ReadyStep &ready) const;
     [[nodiscard]] bool isWaitingForRack(const ReadyStep &ready, const Label &rack) const;
     [[nodiscard]] std::size_t waitingTasksOf(const StepRef &step) const;
     [[nodiscard]] std::string_view obstacleToStart(const TaskRef &task, const Job &job, const WorkerLink &link,
