--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -120,7 +120,8 @@
                 if (second.begun <= first.begun && second.number <= first.number) {
                     continue;
                 }
-                const bool isAfterDone = first.how == "done" && first.noted >= 0 && second.begun >= first.ended;
+                const bool isAfterDone =
+                    first.how == "done" && first.noted >= 0 && !first.hasLapsed && second.begun >= first.ended;
                 const bool isBeside = first.ended < 0 || second.begun < first.ended;
                 if ((isAfterDone || isBeside) && !isTwice) {
                     isTwice = true;
--- a/review/standin-2/platform.hh
+++ b/review/standin-2/platform.hh
@@ -446,6 +446,8 @@
     std::uint64_t endNumber = 0;
     /** When the end was taken note of; -1 before. */
     std::int64_t noted = -1;
+    /** The minion's lease lapsed after the end and before it was taken note of, which excuses a further start. */
+    bool hasLapsed = false;
 };
 
 /** Every run on every minion; guarded by a lock of its own. */
@@ -645,6 +647,12 @@
         }
         const std::int64_t now = m_record.now();
         const bool isLapsed = clock() > m_deadline;
+        if (isLapsed) {
+            const std::lock_guard lock(m_truth.mutex());
+            for (const auto &unseen : m_ends) {
+                unseen->hasLapsed = unseen->hasLapsed || unseen->noted < 0;
+            }
+        }
         for (auto place = m_running.begin(); place != m_running.end();) {
             const std::shared_ptr<Run> run = place->second;
             const bool isDone = now >= run->begun + run->length;
