--- a/review/standin-2/deployment.hh
+++ b/review/standin-2/deployment.hh
@@ -13,7 +13,7 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 
-namespace review {
+namespace review2 {
 
 inline int freePort(const std::string &ip)
 {
@@ -197,6 +197,24 @@
         return true;
     }
 
+    /** Memory that the process holds; 0 when it doesn't run. */
+    static std::int64_t residentMegabytes(const Host &host)
+    {
+        std::ifstream status("/proc/" + std::to_string(host.pid) + "/statm");
+        std::int64_t total = 0;
+        std::int64_t resident = 0;
+        status >> total >> resident;
+        return host.pid > 0 ? resident * ::getpagesize() / 1'048'576 : 0;
+    }
+
+    void killForMemory(Host &host)
+    {
+        m_record.line("process of %s holds %lld MB and is killed", host.name.c_str(),
+                      static_cast<long long>(residentMegabytes(host)));
+        signal(host, SIGKILL);
+        reap(host);
+    }
+
     static void reap(Host &host)
     {
         if (host.pid > 0) {
@@ -341,4 +359,4 @@
     return text;
 }
 
-} // namespace review
+} // namespace review2
--- a/review/standin-2/http.hh
+++ b/review/standin-2/http.hh
@@ -21,7 +21,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace review {
+namespace review2 {
 
 struct Request
 {
@@ -306,4 +306,4 @@
     return response;
 }
 
-} // namespace review
+} // namespace review2
--- a/review/standin-2/platform.hh
+++ b/review/standin-2/platform.hh
@@ -16,7 +16,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace review {
+namespace review2 {
 
 using nlohmann::json;
 using Clock = std::chrono::steady_clock;
@@ -839,4 +839,4 @@
     std::deque<std::shared_ptr<Run>> m_ends;
 };
 
-} // namespace review
+} // namespace review2
