Take a run for lost only where the worker's list is complete

Cause: a worker lists 500 ends at a time. A run that was neither running nor among them was given up and placed again; its end came with the next list, as that of an untracked run, which was never acknowledged, so that the worker listed nothing else any more.

Change: the adapter says whether an answer is complete, and only a complete one proves that a run is absent. Every listed end is acknowledged once what was passed on is committed. A run whose end isn't listed yet is neither moved nor counted as ready. The workers of the virtual site list two ends at a time.

--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -41,6 +41,7 @@
 inline constexpr std::string_view workerDraining = "worker_draining";
 inline constexpr std::string_view workerQuarantined = "worker_quarantined";
 inline constexpr std::string_view strayRun = "stray_run";
+inline constexpr std::string_view endsUntracked = "ends_untracked";
 inline constexpr std::string_view fenceMet = "fence_met";
 
 inline constexpr std::string_view callRefused = "call_refused";
--- a/src/libjobs/liverun.h
+++ b/src/libjobs/liverun.h
@@ -44,11 +44,18 @@
     /** Gauge in the worker's latest report; see RunningRow. */
     std::int64_t gauge = 0;
     bool wasReported = false;
+    /** Whether the worker's latest answer listed the run as running. */
+    bool isListed = false;
     /** Pace last requested, in percent of full speed, when that was, and the pace before. */
     std::uint32_t pace = 100;
     TimePoint pacedAt {};
     std::uint32_t previousPace = 100;
 
+    /** Whether the run has ended, and the worker hasn't listed its end yet; see ListExtent. */
+    [[nodiscard]] bool isEndPending() const
+    {
+        return wasReported && !isListed;
+    }
     [[nodiscard]] bool isServing() const
     {
         return step && step->isServing();
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -80,8 +80,8 @@
     handlers.onRefused = [this, worker](const LiveRun &run, WorkerFailure failure) {
         handleRefusal(worker, run, failure);
     };
-    handlers.onPolled = [this, worker] {
-        finishReport(worker);
+    handlers.onPolled = [this, worker](const std::optional<EndCursor> &newEnds) {
+        finishReport(worker, newEnds);
     };
     handlers.onReachability = [this, worker] {
         handleReachability(worker);
@@ -279,7 +279,6 @@
 void RunController::handleRunEnd(const WorkerId &worker, const LiveRun &run, ReportedEnd end,
                                  const CheckpointId &checkpoint)
 {
-    m_hasNewEnds = true;
     m_context.count("runs_ended", runEndName(toRunEnd(end)));
     m_context.log(LogLevel::Info, events::runEnded,
                   { { "task", describe(run.ref.task) },
@@ -432,19 +431,18 @@
     return m_closing.contains(job);
 }
 
-void RunController::finishReport(const WorkerId &worker)
+void RunController::finishReport(const WorkerId &worker, const std::optional<EndCursor> &newEnds)
 {
     WorkerLink &reported = *m_fleet.find(worker);
     m_neighbours.learn(reported, m_context.now());
     paceFillers(reported);
     moveRuns(reported);
-    if (!std::exchange(m_hasNewEnds, false)) {
+    if (!newEnds) {
         return;
     }
-    const EndCursor mark = reported.endCursor();
-    m_log.flush(m_lifetime.guard([this, worker, mark] {
+    m_log.flush(m_lifetime.guard([this, worker, recorded = *newEnds] {
         if (WorkerLink *const link = m_fleet.find(worker)) {
-            link->acknowledge(mark);
+            link->acknowledge(recorded);
         }
     }));
 }
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -86,7 +86,7 @@
     void recordEnd(const LiveRun &run, RunEnd end, const CheckpointId &checkpoint);
     void stopOthers(const Job &job, const LiveRun &ended, RunEnd end);
     void continueJob(const TaskRef &task);
-    void finishReport(const WorkerId &worker);
+    void finishReport(const WorkerId &worker, const std::optional<EndCursor> &newEnds);
     void handleReachability(const WorkerId &worker);
     void paceFillers(WorkerLink &link);
     void moveRuns(WorkerLink &link);
@@ -114,8 +114,6 @@
     RunStarter m_starter;
     RunMonitor m_monitor;
     std::set<JobId> m_closing;
-    /** Whether the worker report being processed contained ended runs. */
-    bool m_hasNewEnds = false;
 };
 
 } // namespace currantring
--- a/src/libjobs/runmonitor.cpp
+++ b/src/libjobs/runmonitor.cpp
@@ -38,7 +38,7 @@
 
 bool isReady(const LiveRun &run)
 {
-    return run.phase == RunPhase::Running && run.wasReported && run.percent == 100;
+    return run.phase == RunPhase::Running && run.isListed && run.percent == 100;
 }
 
 bool isAboutToLeave(const WorkerLink &link, TimePoint now)
@@ -65,7 +65,7 @@
     const std::size_t maxMoves = isAboutToLeave(link, now) ? link.runs().size() : maxMovesPerReport;
     std::vector<RunMove> moves;
     for (const auto &[ref, run] : link.runs()) {
-        if (run.phase != RunPhase::Running || moves.size() >= maxMoves) {
+        if (run.phase != RunPhase::Running || run.isEndPending() || moves.size() >= maxMoves) {
             continue;
         }
         const std::string_view reason = reasonToMove(run, link, isWorkerUnsound, now);
--- a/src/libjobs/stepavailability.cpp
+++ b/src/libjobs/stepavailability.cpp
@@ -40,8 +40,8 @@
         return nullptr;
     }
     const auto run = link->runs().find(RunRef { task, state->runs.front().number });
-    const bool isReady =
-        run != link->runs().end() && run->second.phase == RunPhase::Running && run->second.percent == 100;
+    const bool isReady = run != link->runs().end() && run->second.phase == RunPhase::Running
+        && !run->second.isEndPending() && run->second.percent == 100;
     return isReady ? link : nullptr;
 }
 
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -382,10 +382,10 @@
     }
     m_lease.noteClock(answer.clock, m_context.now());
     updateRunning(answer);
-    reportEnded(answer);
+    const std::optional<EndCursor> newEnds = reportEnded(answer);
     removeAbsent(sentAt, answer);
     setReachable(true, "answers");
-    m_handlers.onPolled();
+    m_handlers.onPolled(newEnds);
     if (!leaseWasRequested) {
         poll(Milliseconds(0));
     } else if (m_acknowledged == m_reported) {
@@ -415,14 +415,12 @@
     }
 }
 
-EndCursor WorkerLink::endCursor() const
-{
-    return { m_channel.value_or(WorkerChannel(0)), m_reported };
-}
-
 void WorkerLink::updateRunning(const WorkerAnswer &answer)
 {
     noteChange();
+    for (auto &[ref, run] : m_runs) {
+        run.isListed = false;
+    }
     for (const RunningRow &row : answer.running) {
         const auto place = m_runs.find(row.run);
         if (place == m_runs.end()) {
@@ -437,6 +435,7 @@
         run.gauge = row.gauge;
         run.checkpoint = row.checkpoint;
         run.wasReported = true;
+        run.isListed = true;
         if (run.phase == RunPhase::Inherited || run.phase == RunPhase::Starting) {
             const bool isInherited = run.phase == RunPhase::Inherited;
             run.settledAt = m_context.now();
@@ -473,12 +472,16 @@
     run.step = m_handlers.describeRun(row.run.task);
     run.phase = RunPhase::Stopping;
     run.settledAt = m_context.now();
+    run.isListed = true;
     addRun(std::move(run));
     sendStop(row.run);
 }
 
-void WorkerLink::reportEnded(const WorkerAnswer &answer)
+/** Returns the position after the ends that are new, if there are any. */
+std::optional<EndCursor> WorkerLink::reportEnded(const WorkerAnswer &answer)
 {
+    const EndNumber before = m_reported;
+    std::vector<RunRef> untracked;
     for (const EndedRow &row : answer.ended) {
         if (row.number <= m_reported) {
             continue;
@@ -486,16 +489,28 @@
         m_reported = row.number;
         if (const auto place = m_runs.find(row.run); place != m_runs.end()) {
             m_handlers.onEnded(removeRun(place), row.end, row.checkpoint);
+        } else {
+            untracked.push_back(row.run);
         }
     }
+    if (!untracked.empty()) {
+        m_context.log(LogLevel::Info, events::endsUntracked,
+                      { { "worker", m_entry.id.value() },
+                        { "count", std::to_string(untracked.size()) },
+                        { "task", describe(untracked.front().task) },
+                        { "run", std::to_string(untracked.front().number.value()) } });
+    }
+    return m_reported == before ? std::nullopt : std::optional(EndCursor { *m_channel, m_reported });
 }
 
 void WorkerLink::removeAbsent(TimePoint sentAt, const WorkerAnswer &answer)
 {
+    if (answer.extent == ListExtent::Partial) {
+        return;
+    }
     std::vector<RunRef> absent;
     for (const auto &[ref, run] : m_runs) {
-        const bool isListed = std::ranges::find(answer.running, ref, &RunningRow::run) != answer.running.end();
-        if (!isListed && isProvenAbsent(run, sentAt, answer)) {
+        if (!run.isListed && isProvenAbsent(run, sentAt, answer)) {
             absent.push_back(ref);
         }
     }
@@ -504,7 +519,8 @@
     }
 }
 
-bool WorkerLink::isProvenAbsent(const LiveRun &run, TimePoint sentAt, const WorkerAnswer &answer) const
+/** Whether a run that a complete answer doesn't list isn't running and won't be. */
+bool WorkerLink::isProvenAbsent(const LiveRun &run, TimePoint sentAt, const WorkerAnswer &answer)
 {
     switch (run.phase) {
     case RunPhase::Committing:
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -39,7 +39,12 @@
  * The writer's connection to one worker: polls it to renew its lease, sends orders, and tracks the runs placed on it.
  *
  * A run keeps its resources reserved until the worker reports its end or until it provably can't be running: either the
- * worker omits it from the answer to a poll sent after its start was settled, or the worker's lease has expired.
+ * worker omits it from the complete answer to a poll sent after its start was settled, or the worker's lease has
+ * expired.
+ *
+ * All listed ends are acknowledged, those of untracked runs too, as the worker lists the next ones only then. An end is
+ * untracked when it was recorded before, by this writer or an earlier one, or when its run was given up after the lease
+ * had expired; the end of such a run counts for nothing.
  *
  * A worker that restarts under its id counts its clock anew, so that it would take the time in an order as the longest
  * lease there is. Orders with a time therefore go over connections that lead to the known life of the worker, or to
@@ -59,8 +64,11 @@
         std::function<void(const LiveRun &run)> onUnsettled;
         /** The worker refused to start the run, which has been removed from runs(). */
         std::function<void(const LiveRun &run, WorkerFailure failure)> onRefused;
-        /** A poll was answered and its ended runs were passed on; to be acknowledged once they are recorded. */
-        std::function<void()> onPolled;
+        /**
+         * A poll was answered and its ended runs were passed on. @p newEnds: the position after them, if there were
+         * any, tracked or not; to be acknowledged once what was passed on is recorded.
+         */
+        std::function<void(const std::optional<EndCursor> &newEnds)> onPolled;
         /** The worker became reachable or unreachable. */
         std::function<void()> onReachability;
         /** The worker rejected this writer's fencing token because it has seen a higher one. */
@@ -100,9 +108,6 @@
     void pace(const RunRef &run, std::uint32_t percent);
     /** Confirms that the ended runs up to @p cursor are recorded. */
     void acknowledge(const EndCursor &cursor);
-    /** Position after the last ended run that was passed to onEnded. */
-    [[nodiscard]] EndCursor endCursor() const;
-
     [[nodiscard]] const WorkerEntry &entry() const;
     [[nodiscard]] WorkerLife life() const;
     [[nodiscard]] const std::map<RunRef, LiveRun> &runs() const;
@@ -125,9 +130,9 @@
     void handlePoll(TimePoint sentAt, const WorkerResult &result);
     void applyAnswer(TimePoint sentAt, const WorkerAnswer &answer);
     void updateRunning(const WorkerAnswer &answer);
-    void reportEnded(const WorkerAnswer &answer);
+    std::optional<EndCursor> reportEnded(const WorkerAnswer &answer);
     void removeAbsent(TimePoint sentAt, const WorkerAnswer &answer);
-    [[nodiscard]] bool isProvenAbsent(const LiveRun &run, TimePoint sentAt, const WorkerAnswer &answer) const;
+    [[nodiscard]] static bool isProvenAbsent(const LiveRun &run, TimePoint sentAt, const WorkerAnswer &answer);
     void restorePace(const LiveRun &run);
     void stopUntracked(const RunningRow &row);
     void schedulePoll();
@@ -172,7 +177,7 @@
     WorkerTarget m_target;
     /** Start orders that wait for a connection that leads to the known life. */
     std::vector<std::shared_ptr<const StartOrder>> m_heldStarts;
-    /** Ended runs up to here were passed to onEnded. */
+    /** Ended runs up to here were passed on. */
     EndNumber m_reported;
     /** Ended runs up to here are recorded. */
     EndNumber m_acknowledged;
--- a/src/libjobs/workerorder.h
+++ b/src/libjobs/workerorder.h
@@ -104,6 +104,13 @@
     CheckpointId checkpoint;
 };
 
+/** Whether the lists of an answer name everything that the worker runs and every end that isn't acknowledged. */
+enum class ListExtent {
+    Complete,
+    /** Ends may be missing, as the worker lists them in parts; the next part follows an acknowledgement. */
+    Partial
+};
+
 /** A worker's answer; the lists are filled for polls only. */
 struct WorkerAnswer
 {
@@ -116,6 +123,8 @@
     ChannelMark establishedBefore;
     std::vector<RunningRow> running;
     std::vector<EndedRow> ended;
+    /** A run that a partial answer doesn't list may have ended in any way. */
+    ListExtent extent = ListExtent::Partial;
 };
 
 /** Why an order was not carried out, or may not have been. */
--- a/tests/libjobs/fleetfixture.cpp
+++ b/tests/libjobs/fleetfixture.cpp
@@ -25,7 +25,7 @@
                                             WorkerFleet::Handlers { [](WorkerLink &) {}, [] {}, [](WorkerLink &) {},
                                                                     [](const WorkerId &) {
                                                                         WorkerLink::Handlers handlers;
-                                                                        handlers.onPolled = [] {
+                                                                        handlers.onPolled = [](const std::optional<EndCursor> &) {
                                                                         };
                                                                         handlers.onReachability = [] {
                                                                         };
--- a/tests/libjobs/testadmission.cpp
+++ b/tests/libjobs/testadmission.cpp
@@ -33,6 +33,7 @@
     VirtualSiteOptions options;
     options.workers = workers;
     options.capacity = largeWorker;
+    options.listedEnds = platformListedEnds;
     options.processors = { Millicores(1000) };
     options.admission = { Milliseconds(100), Milliseconds(20), Milliseconds(3000), false, {} };
     return options;
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -80,7 +80,7 @@
         entry.capacity = m_options.capacity;
         auto node = std::make_unique<WorkerNode>();
         const Milliseconds offset(static_cast<std::int64_t>(uniformBelow(m_random, 100'000)));
-        node->worker = std::make_unique<VirtualWorker>(entry, m_now, offset,
+        node->worker = std::make_unique<VirtualWorker>(entry, m_now, offset, m_options.listedEnds,
                                                        [this](const WorkerRunEvent &event) { handleRunEvent(event); });
         m_judge.noteWorker(entry);
         m_workersById[node->worker->entry().id] = node.get();
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -15,6 +15,9 @@
 
 namespace currantring {
 
+/** How many ends the platform's workers list at a time, for sites under a load that needs as many. */
+constexpr std::size_t platformListedEnds = 500;
+
 /** Initial hosts and workers of a VirtualSite. */
 struct VirtualSiteOptions
 {
@@ -25,6 +28,8 @@
     std::vector<Millicores> processors { Millicores(250) };
     Resources capacity { Millicores(8000), Mebibytes(16'000), AcceleratorCount(1) };
     std::uint32_t attemptLimit = 3;
+    /** How many ends a worker lists at a time. */
+    std::size_t listedEnds = 2;
     VirtualAdmissionOptions admission { .admits = admitsTwoThirds };
 };
 
--- a/tests/libjobs/virtualworker.cpp
+++ b/tests/libjobs/virtualworker.cpp
@@ -61,12 +61,13 @@
     return ticket == admissionTicket(step, worker, validUntil) && now <= validUntil;
 }
 
-VirtualWorker::VirtualWorker(WorkerEntry entry, TimePoint startedAt, Milliseconds clockOffset,
+VirtualWorker::VirtualWorker(WorkerEntry entry, TimePoint startedAt, Milliseconds clockOffset, std::size_t listedEnds,
                              RunEventHandler onRunEvent)
     : m_entry(std::move(entry))
     , m_onRunEvent(std::move(onRunEvent))
     , m_startedAt(startedAt)
     , m_clockOffset(clockOffset)
+    , m_listedEnds(listedEnds)
 {
 }
 
@@ -323,7 +324,9 @@
         }
         answer.running.push_back(row);
     }
-    answer.ended = m_ends;
+    const std::size_t listed = std::min(m_ends.size(), m_listedEnds);
+    answer.ended.assign(m_ends.begin(), m_ends.begin() + static_cast<std::ptrdiff_t>(listed));
+    answer.extent = listed < m_listedEnds ? ListExtent::Complete : ListExtent::Partial;
     return answer;
 }
 
--- a/tests/libjobs/virtualworker.h
+++ b/tests/libjobs/virtualworker.h
@@ -77,7 +77,9 @@
 public:
     using RunEventHandler = std::function<void(const WorkerRunEvent &event)>;
 
-    VirtualWorker(WorkerEntry entry, TimePoint startedAt, Milliseconds clockOffset, RunEventHandler onRunEvent);
+    /** @p listedEnds: how many ends an answer lists at most; the next ones follow an acknowledgement. */
+    VirtualWorker(WorkerEntry entry, TimePoint startedAt, Milliseconds clockOffset, std::size_t listedEnds,
+                  RunEventHandler onRunEvent);
 
     /** Executes an order at @p now. */
     WorkerResult execute(const WorkerOrder &order, TimePoint now);
@@ -143,6 +145,7 @@
     RunEventHandler m_onRunEvent;
     TimePoint m_startedAt;
     Milliseconds m_clockOffset;
+    std::size_t m_listedEnds;
     WriterToken m_token;
     std::optional<TimePoint> m_leaseEnd;
     std::map<RunRef, Run> m_runs;
--- a/tests/libsite/testworkeranswers.cpp
+++ b/tests/libsite/testworkeranswers.cpp
@@ -146,6 +146,23 @@
       "9223372036854775807 runs j/0/0/1#4294967295 c 4294967295 0 ended 18446744073709551615 j/0/0/1#1 done " },
 };
 
+struct ExtentCase
+{
+    const char *name;
+    std::string body;
+    ListExtent expected;
+};
+
+/** A poll's answer with @p count ends. */
+std::string answerWithEnds(int count)
+{
+    std::string rows;
+    for (int number = 1; number <= count; ++number) {
+        rows += (number > 1 ? "," : "") + ("[" + std::to_string(number)) + R"(,"j.0.0.1",1,"done",""])";
+    }
+    return R"({"clockMs":1,"running":[],"finished":[)" + rows + "]}";
+}
+
 /** None of these can be read, so that the order may have been carried out. */
 const std::vector<Case> unreadable {
     { "nothing", "", "" },
@@ -227,6 +244,28 @@
     }
 }
 
+/** Tasks whose ends didn't fit into the list were taken for lost and run again. */
+BOOST_AUTO_TEST_CASE(completeOnesAreToldFromPartialOnes)
+{
+    const std::vector<ExtentCase> cases {
+        { "both lists, empty", answerWithEnds(0), ListExtent::Complete },
+        { "one end less than fit", answerWithEnds(499), ListExtent::Complete },
+        { "as many ends as fit", answerWithEnds(500), ListExtent::Partial },
+        { "more ends than the protocol lists", answerWithEnds(501), ListExtent::Partial },
+        { "no lists", R"({"clockMs":1})", ListExtent::Partial },
+        { "no ends", R"({"clockMs":1,"running":[]})", ListExtent::Partial },
+        { "no runs", R"({"clockMs":1,"finished":[]})", ListExtent::Partial },
+        { "null for a list", R"({"clockMs":1,"running":null,"finished":[]})", ListExtent::Partial },
+        { "the later of two lists is null", R"({"running":[],"finished":[],"running":null})", ListExtent::Partial },
+    };
+    for (const ExtentCase &row : cases) {
+        const WorkerResult result =
+            platform::decodeAnswer(net::HttpAnswer { { ok, {}, row.body }, net::ConnectionId(9) });
+        BOOST_REQUIRE(result);
+        BOOST_TEST((result->extent == row.expected), row.name);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(unreadableOnesAreUnknown)
 {
     for (const Case &row : unreadable) {
