Drop what waits for a task, a step or a job once it is over

Cause: a copy that waits for room stayed among the ready tasks when its task was done by the first run. In jobs of more than 100 repetitions the occurrence was freed meanwhile, and the next placement pass read its steps. In other jobs the copy was placed and committed in vain.

Change: after each end, recorded or late, whatever is kept for a task, its step or its job is dropped once these are over: ready tasks, tickets and the request for them, durations, failures. Job::task() gives a reference; a task that isn't there counts as done, without runs, so that no caller can overlook its absence.

Evidence: Settled in tests/libjobs.

--- a/src/libjobs/admissionclient.cpp
+++ b/src/libjobs/admissionclient.cpp
@@ -122,6 +122,7 @@
     std::ranges::transform(request.workers, std::back_inserter(workers), &AdmissionCandidate::worker);
     m_line.noteRequest(demand.step, m_context.now());
     m_isRequestPending = true;
+    m_requested = demand.step;
     m_context.askAdmission(
         demand.step, workers, m_statistics.expectedDuration(request.statedDuration) + timeoutMargin,
         m_lifetime.guard([this, request](const AdmissionResult &result) { handleAnswer(request, result); }));
@@ -137,20 +138,25 @@
     m_isRequestPending = false;
     m_statistics.noteDuration(request.statedDuration, m_context.now() - request.sentAt);
     logAnswer(request, result);
+    const bool isWanted = std::exchange(m_requested, std::nullopt).has_value();
     if (result) {
         m_failures = 0;
-        m_answered = request.step;
-        applyAnswer(request, *result);
+        m_statistics.noteAnswer(request.queue, request.workers.size(), result->tickets.size());
+        if (isWanted) {
+            m_answered = request.step;
+            applyAnswer(request, *result);
+        }
         m_onChange();
-    } else {
+        return;
+    }
+    if (isWanted) {
         m_line.noteUseless(request.step, m_context.now());
-        backOff();
     }
+    backOff();
 }
 
 void AdmissionClient::applyAnswer(const Request &request, const AdmissionAnswer &answer)
 {
-    m_statistics.noteAnswer(request.queue, request.workers.size(), answer.tickets.size());
     Admission &admission = m_admissions[request.step];
     for (const AdmissionCandidate &named : request.workers) {
         const auto ticket = answer.tickets.find(named.worker);
@@ -228,6 +234,11 @@
 {
     m_admissions.erase(step);
     m_line.forgetStep(step);
+    for (std::optional<StepRef> *const kept : { &m_requested, &m_answered }) {
+        if (*kept == step) {
+            kept->reset();
+        }
+    }
 }
 
 void AdmissionClient::forgetJob(const JobId &job)
@@ -239,6 +250,16 @@
     }
     m_admissions.erase(first, last);
     m_line.forgetJob(job);
+    for (std::optional<StepRef> *const kept : { &m_requested, &m_answered }) {
+        if (*kept && (*kept)->job == job) {
+            kept->reset();
+        }
+    }
+}
+
+std::size_t AdmissionClient::trackedSteps() const
+{
+    return m_admissions.size() + m_line.trackedSteps() + (m_answered ? 1 : 0);
 }
 
 } // namespace currantring
--- a/src/libjobs/admissionclient.h
+++ b/src/libjobs/admissionclient.h
@@ -76,8 +76,11 @@
 
     /** Drops a ticket that the worker has refused. */
     void drop(const StepRef &step, const WorkerId &worker);
+    /** Drops what is kept for @p step; the answer to a request under way for it is disregarded. */
     void forgetStep(const StepRef &step);
     void forgetJob(const JobId &job);
+    /** Number of steps that something is kept for. */
+    [[nodiscard]] std::size_t trackedSteps() const;
 
 private:
     struct Ticket
@@ -119,6 +122,8 @@
     std::map<StepRef, Admission> m_admissions;
     std::optional<StepRef> m_answered;
     bool m_isRequestPending = false;
+    /** The step of the pending request, unless it was forgotten since. */
+    std::optional<StepRef> m_requested;
     /** No request is sent before this time after a failure. */
     TimePoint m_retryAt {};
     std::uint32_t m_failures = 0;
--- a/src/libjobs/admissionline.cpp
+++ b/src/libjobs/admissionline.cpp
@@ -86,4 +86,9 @@
     std::erase_if(m_places, [&job](const auto &place) { return place.first.job == job; });
 }
 
+std::size_t AdmissionLine::trackedSteps() const
+{
+    return m_places.size();
+}
+
 } // namespace currantring
--- a/src/libjobs/admissionline.h
+++ b/src/libjobs/admissionline.h
@@ -35,6 +35,8 @@
     [[nodiscard]] std::uint32_t uselessRequests(const StepRef &step) const;
     void forgetStep(const StepRef &step);
     void forgetJob(const JobId &job);
+    /** Number of steps that something is kept for. */
+    [[nodiscard]] std::size_t trackedSteps() const;
 
 private:
     struct Place
--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -33,6 +33,12 @@
     return found == runs.end() ? nullptr : &*found;
 }
 
+const Task &settledTask()
+{
+    static const Task task { true, 0, RunNumber(0), {}, {} };
+    return task;
+}
+
 bool Occurrence::isOver() const
 {
     return doneSteps == steps.size() && std::ranges::all_of(steps, [](const StepTasks &step) {
@@ -58,12 +64,9 @@
 
 bool Job::isStepOpen(std::uint32_t occurrence, std::uint32_t step) const
 {
-    const Occurrence &begun = occurrences.at(occurrence);
-    if (begun.isCompacted()) {
-        return false;
-    }
-    return std::ranges::all_of(spec->steps.at(step).after,
-                               [&begun](std::uint32_t earlier) { return begun.steps.at(earlier).isDone(); });
+    return !occurrences.at(occurrence).isCompacted()
+        && std::ranges::all_of(spec->steps.at(step).after,
+                               [this, occurrence](std::uint32_t earlier) { return isStepDone(occurrence, earlier); });
 }
 
 void Job::beginOccurrence()
@@ -94,31 +97,38 @@
     }
 }
 
-Task *Job::task(const TaskRef &ref)
+const StepTasks *Job::findStep(std::uint32_t occurrence, std::uint32_t step) const
 {
-    return const_cast<Task *>(std::as_const(*this).task(ref));
+    const bool isKnown = occurrence < occurrences.size() && step < occurrences[occurrence].steps.size();
+    return isKnown ? &occurrences[occurrence].steps[step] : nullptr;
 }
 
-const Task *Job::task(const TaskRef &ref) const
+const Task &Job::task(const TaskRef &ref) const
 {
-    if (ref.step.occurrence >= occurrences.size()) {
-        return nullptr;
-    }
-    const Occurrence &occurrence = occurrences[ref.step.occurrence];
-    if (ref.step.step >= occurrence.steps.size()) {
-        return nullptr;
-    }
-    const std::vector<Task> &tasks = occurrence.steps[ref.step.step].tasks;
-    return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+    const StepTasks *const step = findStep(ref.step.occurrence, ref.step.step);
+    return step != nullptr && ref.index < step->tasks.size() ? step->tasks[ref.index] : settledTask();
+}
+
+Task *Job::find(const TaskRef &ref)
+{
+    const Task &known = task(ref);
+    return &known == &settledTask() ? nullptr : const_cast<Task *>(&known);
+}
+
+bool Job::isStepDone(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const StepTasks *const known = findStep(occurrence, step);
+    return known == nullptr || known->isDone();
 }
 
 std::uint32_t Job::failuresOf(const TaskRef &ref) const
 {
-    if (!spec->steps.at(ref.step.step).isGang) {
-        return task(ref)->failures;
+    const StepTasks *const step = findStep(ref.step.occurrence, ref.step.step);
+    if (step == nullptr || !spec->steps.at(ref.step.step).isGang) {
+        return task(ref).failures;
     }
     std::uint32_t failures = 0;
-    for (const Task &member : occurrences.at(ref.step.occurrence).steps.at(ref.step.step).tasks) {
+    for (const Task &member : step->tasks) {
         failures += member.failures;
     }
     return failures;
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -45,7 +45,7 @@
     WorkerLife life;
 };
 
-/** Progress of one task in one occurrence. */
+/** Progress of one task in one occurrence. See settledTask() for one that isn't there. */
 struct Task
 {
     bool isDone = false;
@@ -60,6 +60,9 @@
     [[nodiscard]] const PlacedRun *run(RunNumber number) const;
 };
 
+/** Stands for each task that doesn't exist or was forgotten: nothing of it is left to do. Thread safety: reentrant. */
+const Task &settledTask();
+
 /** The tasks of one step of one occurrence. */
 struct StepTasks
 {
@@ -124,17 +127,24 @@
     void addDoneOccurrence();
     /** Forgets the tasks of occurrences that are over, where there are so many that they would fill the memory. */
     void compactOccurrences();
-    /** Returns null when there is no such task. */
-    [[nodiscard]] Task *task(const TaskRef &ref);
-    [[nodiscard]] const Task *task(const TaskRef &ref) const;
+    /** A task that doesn't exist, or was forgotten with its occurrence, counts as done, without runs. */
+    [[nodiscard]] const Task &task(const TaskRef &ref) const;
+    /** The task itself, to change it; null when it doesn't exist or was forgotten. */
+    [[nodiscard]] Task *find(const TaskRef &ref);
+    /** Whether all tasks of a step are done; true for a step that doesn't exist or was forgotten. */
+    [[nodiscard]] bool isStepDone(std::uint32_t occurrence, std::uint32_t step) const;
     /** Failed runs that count towards the task's attempt limit; for a gang, those of all its members. */
     [[nodiscard]] std::uint32_t failuresOf(const TaskRef &ref) const;
-    /** Precondition: task() isn't null for @p ref and isn't done. */
+    /** Precondition: find() isn't null for @p ref, and the task isn't done. */
     void markDone(const TaskRef &ref);
     /** Returns the specification of a step; the result keeps the whole JobSpec alive. */
     [[nodiscard]] std::shared_ptr<const StepSpec> step(std::uint32_t index) const;
     /** Runs that are placed and not known to have ended. */
     [[nodiscard]] std::vector<RunRef> liveRuns() const;
+
+private:
+    /** Null when the step doesn't exist or was forgotten. */
+    [[nodiscard]] const StepTasks *findStep(std::uint32_t occurrence, std::uint32_t step) const;
 };
 
 } // namespace currantring
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -497,6 +497,11 @@
     return m_configuration && !m_isStopping && (m_writer || isWriterReachable());
 }
 
+std::optional<std::size_t> JobNode::trackedWork() const
+{
+    return m_writer ? m_writer->trackedWork() : std::nullopt;
+}
+
 bool JobNode::isWriter() const
 {
     return m_writer != nullptr;
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -60,6 +60,8 @@
     /** Whether this host can serve callers: it has a configuration, reaches the writer, and is not stopping. */
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] bool isWriter() const;
+    /** See RunController::trackedWork(); nullopt on a host that isn't the writer. */
+    [[nodiscard]] std::optional<std::size_t> trackedWork() const;
 
 private:
     void applyConfiguration(const std::string &text, std::string_view source);
--- a/src/libjobs/jobrecord.cpp
+++ b/src/libjobs/jobrecord.cpp
@@ -67,7 +67,7 @@
 void decodeProgress(Job &job, StepRef step, const json &source)
 {
     const TaskRef ref { std::move(step), source.at(0).get<std::uint32_t>() };
-    Task *const task = job.task(ref);
+    Task *const task = job.find(ref);
     if (task == nullptr) {
         throw json::other_error::create(501, "snapshot refers to an unknown task", nullptr);
     }
--- a/src/libjobs/jobtable.cpp
+++ b/src/libjobs/jobtable.cpp
@@ -48,7 +48,7 @@
            && job.occurrences.size() < job.spec->occurrences()) {
         job.beginOccurrence();
     }
-    Task *const task = job.task(record.run.task);
+    Task *const task = job.find(record.run.task);
     if (task == nullptr || task->lastRun >= record.run.number) {
         return false;
     }
@@ -81,9 +81,9 @@
     for (std::uint32_t index = 0; index < step.count; ++index) {
         const TaskRef member { record.run.task.step, step.isGang ? index : record.run.task.index };
         if (!record.checkpoint.value().empty()) {
-            job.task(member)->checkpoint = record.checkpoint;
+            job.find(member)->checkpoint = record.checkpoint;
         }
-        if (record.end == RunEnd::Done && !step.isLasting && !job.task(member)->isDone) {
+        if (record.end == RunEnd::Done && !step.isLasting && !job.task(member).isDone) {
             job.markDone(member);
         }
         if (!step.isGang) {
@@ -112,6 +112,12 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
+const Task &JobTable::task(const TaskRef &ref) const
+{
+    const Job *const job = find(ref.step.job);
+    return job == nullptr ? settledTask() : job->task(ref);
+}
+
 const std::map<JobId, Job> &JobTable::jobs() const
 {
     return m_jobs;
@@ -142,7 +148,7 @@
 Task *JobTable::findTask(const TaskRef &ref)
 {
     const auto found = m_jobs.find(ref.step.job);
-    return found == m_jobs.end() ? nullptr : found->second.task(ref);
+    return found == m_jobs.end() ? nullptr : found->second.find(ref);
 }
 
 /** Frees the steps and progress of a closed job once its last run has ended; only its outcome is still queried. */
--- a/src/libjobs/jobtable.h
+++ b/src/libjobs/jobtable.h
@@ -20,6 +20,8 @@
 
     /** Returns null when the job is unknown. */
     [[nodiscard]] const Job *find(const JobId &id) const;
+    /** A task that doesn't exist or was forgotten, maybe with its job, counts as done, without runs. */
+    [[nodiscard]] const Task &task(const TaskRef &ref) const;
     [[nodiscard]] const std::map<JobId, Job> &jobs() const;
     /** Starts the next occurrence of a scheduled job; not logged, since it follows from the schedule. */
     void beginOccurrence(const JobId &id);
--- a/src/libjobs/joburgency.cpp
+++ b/src/libjobs/joburgency.cpp
@@ -37,8 +37,8 @@
 
 Milliseconds remainingCriticalPath(const Job &job, std::uint32_t occurrence)
 {
-    const Occurrence &begun = job.occurrences.at(occurrence);
-    return criticalPathOf(*job.spec, [&begun](std::uint32_t index) { return begun.steps[index].isDone(); });
+    return criticalPathOf(*job.spec,
+                          [&job, occurrence](std::uint32_t index) { return job.isStepDone(occurrence, index); });
 }
 
 JobUrgency urgencyOf(const Job &job, std::uint32_t occurrence, const QueueEntry &queue, WallTime now)
--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -253,6 +253,11 @@
     return m_controller != nullptr && !m_isLost;
 }
 
+std::optional<std::size_t> JobWriter::trackedWork() const
+{
+    return isActive() ? std::optional(m_controller->trackedWork()) : std::nullopt;
+}
+
 const WorkerFleet &JobWriter::fleet() const
 {
     return m_controller->fleet();
--- a/src/libjobs/jobwriter.h
+++ b/src/libjobs/jobwriter.h
@@ -51,6 +51,8 @@
     [[nodiscard]] bool isActive() const;
     /** Precondition: isActive(). */
     [[nodiscard]] const WorkerFleet &fleet() const;
+    /** See RunController::trackedWork(); nullopt while inactive. */
+    [[nodiscard]] std::optional<std::size_t> trackedWork() const;
     /** How long the commit in progress has been unanswered by the store. */
     [[nodiscard]] Milliseconds commitAge() const;
 
--- a/src/libjobs/readysteps.h
+++ b/src/libjobs/readysteps.h
@@ -43,6 +43,11 @@
         }
     }
 
+    void removeStep(const StepRef &step)
+    {
+        m_steps.erase(step);
+    }
+
     void removeJob(const JobId &job)
     {
         const auto first = m_steps.lower_bound(StepRef { job, 0, 0 });
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -142,7 +142,7 @@
 void RunController::inheritRuns(const Job &job)
 {
     for (const RunRef &ref : job.liveRuns()) {
-        const PlacedRun *const placed = job.task(ref.task)->run(ref.number);
+        const PlacedRun *const placed = job.task(ref.task).run(ref.number);
         LiveRun run;
         run.ref = ref;
         run.step = job.step(ref.task.step.step);
@@ -230,8 +230,8 @@
 
 void RunController::openTask(const Job &job, const TaskRef &ref)
 {
-    const Task *const task = job.task(ref);
-    if (!task->isDone && task->runs.empty()) {
+    const Task &task = job.task(ref);
+    if (!task.isDone && task.runs.empty()) {
         m_starter.open(ref, job);
     }
 }
@@ -246,7 +246,7 @@
         return;
     }
     for (const RunRef &run : job->liveRuns()) {
-        stopRun(run, job->task(run.task)->run(run.number)->worker);
+        stopRun(run, job->task(run.task).run(run.number)->worker);
     }
 }
 
@@ -336,19 +336,35 @@
         stopOthers(*m_log.table().find(run.ref.task.step.job), run, end);
         continueJob(run.ref.task);
     }
+    forgetIfSettled(run.ref.task);
     m_starter.requestPass();
 }
 
+/** Drops what is kept for a task, and for its step, once they are done or their job is closed, also by a late end. */
+void RunController::forgetIfSettled(const TaskRef &task)
+{
+    const Job *const job = m_log.table().find(task.step.job);
+    const bool isJobOpen = job != nullptr && !job->isClosed();
+    if (!m_log.table().task(task).isDone && isJobOpen) {
+        return;
+    }
+    m_health.forget(task);
+    m_starter.withdraw(task);
+    if (!isJobOpen || job->isStepDone(task.step.occurrence, task.step.step)) {
+        m_monitor.forgetStep(task.step);
+        m_starter.forgetStep(task.step);
+    }
+}
+
 /** Stops the other runs of a completed task, and all members of a gang after one ended without completing. */
 void RunController::stopOthers(const Job &job, const LiveRun &ended, RunEnd end)
 {
     const TaskRef &ref = ended.ref.task;
-    const Task *const task = job.task(ref);
-    if (task == nullptr || job.isClosed()) {
+    if (job.isClosed()) {
         return;
     }
-    if (task->isDone) {
-        for (const PlacedRun &run : std::vector<PlacedRun>(task->runs)) {
+    if (job.task(ref).isDone) {
+        for (const PlacedRun &run : std::vector<PlacedRun>(job.task(ref).runs)) {
             stopRun({ ref, run.number }, run.worker);
         }
     }
@@ -357,7 +373,7 @@
     }
     for (std::uint32_t index = 0; index < ended.step->count; ++index) {
         const TaskRef member { ref.step, index };
-        for (const PlacedRun &run : std::vector<PlacedRun>(job.task(member)->runs)) {
+        for (const PlacedRun &run : std::vector<PlacedRun>(job.task(member).runs)) {
             stopRun({ member, run.number }, run.worker);
         }
     }
@@ -366,26 +382,21 @@
 void RunController::continueJob(const TaskRef &ref)
 {
     const Job *const job = m_log.table().find(ref.step.job);
-    const Task *const task = job->task(ref);
-    if (job->isClosed() || task == nullptr) {
+    if (job->isClosed()) {
         return;
     }
+    const bool isDone = job->task(ref).isDone;
     const QueueEntry *const queue = m_queues.find(job->spec->queue);
     const bool isLasting = job->spec->steps.at(ref.step.step).isLasting;
-    if (!isLasting && queue != nullptr && !task->isDone && job->failuresOf(ref) >= queue->attemptLimit) {
+    if (!isLasting && queue != nullptr && !isDone && job->failuresOf(ref) >= queue->attemptLimit) {
         close(ref.step.job, JobPhase::Failed);
         return;
     }
-    if (!task->isDone) {
+    if (!isDone) {
         openTask(*job, ref);
-        return;
-    }
-    m_health.forget(ref);
-    if (job->areAllTasksDone()) {
+    } else if (job->areAllTasksDone()) {
         close(ref.step.job, JobPhase::Completed);
-    } else if (job->occurrences.at(ref.step.occurrence).steps.at(ref.step.step).isDone()) {
-        m_monitor.forgetStep(ref.step);
-        m_starter.forgetStep(ref.step);
+    } else if (job->isStepDone(ref.step.occurrence, ref.step.step)) {
         openSuccessorSteps(*job, ref.step);
     }
 }
@@ -494,9 +505,9 @@
 void RunController::copyRun(const LiveRun &run, std::string_view reason)
 {
     const Job *const job = m_log.table().find(run.ref.task.step.job);
-    const Task *const task = job == nullptr ? nullptr : job->task(run.ref.task);
-    if (task == nullptr || !run.step || !run.step->mayRunCopies || job->isClosed() || task->isDone
-        || task->runs.size() >= maxRunsPerTask || m_starter.isOpen(run.ref.task)) {
+    const Task &task = m_log.table().task(run.ref.task);
+    if (job == nullptr || job->isClosed() || task.isDone || !run.step || !run.step->mayRunCopies
+        || task.runs.size() >= maxRunsPerTask || m_starter.isOpen(run.ref.task)) {
         return;
     }
     m_context.log(LogLevel::Info, events::runCopied,
@@ -518,4 +529,13 @@
     return m_fleet;
 }
 
+std::size_t RunController::trackedWork() const
+{
+    std::size_t runs = 0;
+    for (const auto &[worker, link] : m_fleet.links()) {
+        runs += link->runs().size();
+    }
+    return runs + m_starter.trackedSteps() + m_monitor.trackedSteps() + m_health.trackedTasks() + m_closing.size();
+}
+
 } // namespace currantring
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -67,6 +67,8 @@
     /** Whether the job is being closed and the record of that isn't committed yet. */
     [[nodiscard]] bool isClosing(const JobId &job) const;
     [[nodiscard]] const WorkerFleet &fleet() const;
+    /** Number of steps and tasks that something is kept for beside the log; 0 when all jobs are closed. */
+    [[nodiscard]] std::size_t trackedWork() const;
 
 private:
     WorkerLink::Handlers linkHandlers(const WorkerId &worker);
@@ -84,6 +86,7 @@
     void handleRefusal(const WorkerId &worker, const LiveRun &run, WorkerFailure failure);
     void updateHealth(const WorkerId &worker, const LiveRun &run, ReportedEnd end);
     void recordEnd(const LiveRun &run, RunEnd end, const CheckpointId &checkpoint);
+    void forgetIfSettled(const TaskRef &task);
     void stopOthers(const Job &job, const LiveRun &ended, RunEnd end);
     void continueJob(const TaskRef &task);
     void finishReport(const WorkerId &worker, const std::optional<EndCursor> &newEnds);
--- a/src/libjobs/runmonitor.cpp
+++ b/src/libjobs/runmonitor.cpp
@@ -217,6 +217,11 @@
     m_durations.erase(step);
 }
 
+std::size_t RunMonitor::trackedSteps() const
+{
+    return m_durations.size();
+}
+
 void RunMonitor::forgetJob(const JobId &job)
 {
     std::erase_if(m_durations, [&job](const auto &entry) { return entry.first.job == job; });
--- a/src/libjobs/runmonitor.h
+++ b/src/libjobs/runmonitor.h
@@ -48,6 +48,8 @@
     void recordCompletion(const LiveRun &run, TimePoint now);
     void forgetStep(const StepRef &step);
     void forgetJob(const JobId &job);
+    /** Number of steps that durations are kept of. */
+    [[nodiscard]] std::size_t trackedSteps() const;
 
 private:
     [[nodiscard]] bool isUnsound(const WorkerLink &link, TimePoint now);
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -41,8 +41,14 @@
     m_admission.forgetJob(job);
 }
 
+void RunStarter::withdraw(const TaskRef &task)
+{
+    m_ready.remove(task);
+}
+
 void RunStarter::forgetStep(const StepRef &step)
 {
+    m_ready.removeStep(step);
     m_admission.forgetStep(step);
 }
 
@@ -62,6 +68,11 @@
     return m_ready.countOf(job);
 }
 
+std::size_t RunStarter::trackedSteps() const
+{
+    return m_ready.steps().size() + m_admission.trackedSteps();
+}
+
 void RunStarter::requestPass()
 {
     if (!std::exchange(m_passRequested, true)) {
@@ -94,9 +105,10 @@
 {
     std::vector<std::pair<JobUrgency, StepRef>> order;
     for (const auto &[step, ready] : m_ready.steps()) {
+        const Job *const job = m_parts.log.table().find(step.job);
         const QueueEntry *const queue = m_parts.queues.find(ready.queue);
-        if (queue != nullptr && (m_admission.maySend() || !lacksTickets(step, *queue))) {
-            order.emplace_back(urgencyOfStep(step, ready, *queue), step);
+        if (job != nullptr && queue != nullptr && (m_admission.maySend() || !lacksTickets(step, *queue))) {
+            order.emplace_back(urgencyOfStep(step, ready, *job, *queue), step);
         }
     }
     std::ranges::sort(order);
@@ -207,14 +219,15 @@
     return !rack.value().empty() && mayWaitForRack(ready);
 }
 
-JobUrgency RunStarter::urgencyOfStep(const StepRef &step, const ReadyStep &ready, const QueueEntry &queue) const
+JobUrgency RunStarter::urgencyOfStep(const StepRef &step, const ReadyStep &ready, const Job &job,
+                                     const QueueEntry &queue) const
 {
     const WallTime wallNow = m_parts.context.wallNow();
     if (ready.step->isLasting) {
         const Milliseconds waited = m_parts.context.now() - ready.since;
         return urgencyOfLasting(queue, WallTime(wallNow.value() - waited.count()));
     }
-    return urgencyOf(*m_parts.log.table().find(step.job), step.occurrence, queue, wallNow);
+    return urgencyOf(job, step.occurrence, queue, wallNow);
 }
 
 void RunStarter::placeStep(const StepRef &step)
@@ -232,9 +245,9 @@
     }
 }
 
-const Task *RunStarter::findTask(const TaskRef &ref) const
+const Task &RunStarter::task(const TaskRef &ref) const
 {
-    return m_parts.log.table().find(ref.step.job)->task(ref);
+    return m_parts.log.table().task(ref);
 }
 
 std::optional<PlacementRequest> RunStarter::requestFor(const TaskRef &task, const StepSpec &step,
@@ -242,7 +255,7 @@
 {
     const QueueEntry *const entry = m_parts.queues.find(queue);
     const Job *const job = m_parts.log.table().find(task.step.job);
-    if (entry == nullptr || job == nullptr || job->task(task) == nullptr) {
+    if (entry == nullptr || job == nullptr) {
         return std::nullopt;
     }
     PlacementRequest request {
@@ -250,7 +263,7 @@
     };
     const std::uint32_t failures = job->failuresOf(task);
     request.isLastAttempt = !step.isLasting && failures > 0 && failures + 1 >= entry->attemptLimit;
-    for (const PlacedRun &run : job->task(task)->runs) {
+    for (const PlacedRun &run : job->task(task).runs) {
         request.excludedWorkers.push_back(run.worker);
     }
     return request;
@@ -262,9 +275,8 @@
     if (!spec.dataRack.value().empty() || !spec.wantsOneRack) {
         return spec.dataRack;
     }
-    const Job &job = *m_parts.log.table().find(step.job);
     for (std::uint32_t index = 0; index < spec.count; ++index) {
-        for (const PlacedRun &run : job.task({ step, index })->runs) {
+        for (const PlacedRun &run : task({ step, index }).runs) {
             if (const WorkerLink *const link = m_parts.fleet.find(run.worker)) {
                 return link->entry().rack;
             }
@@ -319,7 +331,7 @@
             waitForTickets(step, *queue);
             return;
         }
-        const Assignment assignment { task, link, RunNumber(findTask(task)->lastRun.value() + 1) };
+        const Assignment assignment { task, link, RunNumber(this->task(task).lastRun.value() + 1) };
         record(assignment, reserve(assignment, ready));
         if (costs) {
             costs->update(*link);
@@ -386,7 +398,7 @@
     const QueueEntry *const queue = m_parts.queues.find(ready.queue);
     std::uint32_t number = 0;
     for (std::uint32_t index = 0; index < ready.step->count; ++index) {
-        number = std::max(number, findTask({ step, index })->lastRun.value());
+        number = std::max(number, task({ step, index }).lastRun.value());
     }
     std::vector<std::pair<Assignment, LiveRun>> chosen;
     for (std::uint32_t index = 0; index < ready.step->count; ++index) {
@@ -416,7 +428,7 @@
     run.ref = { assignment.task, assignment.number };
     run.step = ready.step;
     run.queue = ready.queue;
-    run.checkpoint = findTask(assignment.task)->checkpoint;
+    run.checkpoint = task(assignment.task).checkpoint;
     assignment.link->reserve(run);
     return run;
 }
@@ -451,14 +463,14 @@
         m_onLoss(worker, live, obstacle);
         return;
     }
-    link->start(run, job->spec->payload, job->task(run.task)->checkpoint, ticket);
+    link->start(run, job->spec->payload, job->task(run.task).checkpoint, ticket);
 }
 
 /** Why a committed run isn't started after all; empty when it is. */
 std::string_view RunStarter::obstacleToStart(const TaskRef &task, const Job &job, const WorkerLink &link,
                                              const std::string &ticket) const
 {
-    if (job.isClosed() || job.task(task)->isDone) {
+    if (job.isClosed() || job.task(task).isDone) {
         return "not-needed";
     }
     if (!link.isReachable()) {
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -41,9 +41,11 @@
 
     /** Queues the task for placement: it has no run, or a copy of it is wanted. */
     void open(const TaskRef &task, const Job &job);
-    void forgetJob(const JobId &job);
-    /** All tasks of @p step are done. */
+    /** Removes the task from those that wait for placement, if it is one of them; it is done. */
+    void withdraw(const TaskRef &task);
+    /** All tasks of @p step are done, or its job is closed. */
     void forgetStep(const StepRef &step);
+    void forgetJob(const JobId &job);
     /** Schedules a placement pass over the waiting tasks. */
     void requestPass();
     /** Discards the admission ticket of a worker that refused the run. */
@@ -52,6 +54,8 @@
     [[nodiscard]] bool isOpen(const TaskRef &task) const;
     /** Number of the job's tasks that wait for a worker. */
     [[nodiscard]] std::size_t waitingTasks(const JobId &job) const;
+    /** Number of steps that tasks wait of, or that tickets are kept for. */
+    [[nodiscard]] std::size_t trackedSteps() const;
     /** The placement request of a task; nullopt when its queue or job is unknown. */
     [[nodiscard]] std::optional<PlacementRequest> requestFor(const TaskRef &task, const StepSpec &step,
                                                              const QueueName &queue) const;
@@ -86,8 +90,9 @@
     LiveRun reserve(const Assignment &assignment, const ReadyStep &ready);
     void record(const Assignment &assignment, const LiveRun &run);
     void start(const RunRef &run, const WorkerId &worker);
-    [[nodiscard]] const Task *findTask(const TaskRef &ref) const;
-    [[nodiscard]] JobUrgency urgencyOfStep(const StepRef &step, const ReadyStep &ready, const QueueEntry &queue) const;
+    [[nodiscard]] const Task &task(const TaskRef &ref) const;
+    [[nodiscard]] JobUrgency urgencyOfStep(const StepRef &step, const ReadyStep &ready, const Job &job,
+                                           const QueueEntry &queue) const;
 
     Parts m_parts;
     LossHandler m_onLoss;
--- a/src/libjobs/stepavailability.cpp
+++ b/src/libjobs/stepavailability.cpp
@@ -30,16 +30,12 @@
 /** The worker on which the task is ready; null when the task isn't. */
 const WorkerLink *StepAvailability::readyOn(const TaskRef &task) const
 {
-    const Job *const job = m_log.table().find(task.step.job);
-    const Task *const state = job == nullptr ? nullptr : job->task(task);
-    if (state == nullptr || state->runs.empty()) {
-        return nullptr;
-    }
-    const WorkerLink *const link = m_fleet.find(state->runs.front().worker);
+    const std::vector<PlacedRun> &placed = m_log.table().task(task).runs;
+    const WorkerLink *const link = placed.empty() ? nullptr : m_fleet.find(placed.front().worker);
     if (link == nullptr) {
         return nullptr;
     }
-    const auto run = link->runs().find(RunRef { task, state->runs.front().number });
+    const auto run = link->runs().find(RunRef { task, placed.front().number });
     const bool isReady = run != link->runs().end() && run->second.phase == RunPhase::Running
         && !run->second.isEndPending() && run->second.percent == 100;
     return isReady ? link : nullptr;
--- a/src/libjobs/workerhealth.cpp
+++ b/src/libjobs/workerhealth.cpp
@@ -69,6 +69,11 @@
     std::erase_if(m_failedOn, [&job](const auto &entry) { return entry.first.step.job == job; });
 }
 
+std::size_t WorkerHealth::trackedTasks() const
+{
+    return m_failedOn.size();
+}
+
 bool WorkerHealth::hasRecord(const WorkerId &worker) const
 {
     return m_records.contains(worker);
--- a/src/libjobs/workerhealth.h
+++ b/src/libjobs/workerhealth.h
@@ -31,6 +31,8 @@
     /** Discards the failures of a task that is complete. */
     void forget(const TaskRef &task);
     void forgetJob(const JobId &job);
+    /** Number of tasks whose failures are kept. */
+    [[nodiscard]] std::size_t trackedTasks() const;
 
     /** Whether there is a failure to judge the worker by; without one it is healthy. */
     [[nodiscard]] bool hasRecord(const WorkerId &worker) const;
--- a/tests/libjobs/fleetfixture.cpp
+++ b/tests/libjobs/fleetfixture.cpp
@@ -20,20 +20,20 @@
     const SiteFormats formats { {}, {}, workerPrefix, [this](const KvEntry &entry) {
                                    return std::optional(entryOf(entry.key));
                                } };
-    m_fleet = std::make_unique<WorkerFleet>(WriterToken(1), WorkerTiming {}, InheritedLeases { start, {} }, formats,
-                                            m_context,
-                                            WorkerFleet::Handlers { [](WorkerLink &) {}, [] {}, [](WorkerLink &) {},
-                                                                    [](const WorkerId &) {
-                                                                        WorkerLink::Handlers handlers;
-                                                                        handlers.onPolled = [](const std::optional<EndCursor> &) {
-                                                                        };
-                                                                        handlers.onReachability = [] {
-                                                                        };
-                                                                        handlers.mayExtendLease = [] {
-                                                                            return true;
-                                                                        };
-                                                                        return handlers;
-                                                                    } });
+    m_fleet = std::make_unique<WorkerFleet>(
+        WriterToken(1), WorkerTiming {}, InheritedLeases { start, {} }, formats, m_context,
+        WorkerFleet::Handlers { [](WorkerLink &) {}, [] {}, [](WorkerLink &) {},
+                                [](const WorkerId &) {
+                                    WorkerLink::Handlers handlers;
+                                    handlers.onPolled = [](const std::optional<EndCursor> &) {
+                                    };
+                                    handlers.onReachability = [] {
+                                    };
+                                    handlers.mayExtendLease = [] {
+                                        return true;
+                                    };
+                                    return handlers;
+                                } });
     m_placer = std::make_unique<RunPlacer>(*m_fleet, m_interference, m_health);
     m_fleet->start();
     deliverAnswers();
--- a/tests/libjobs/testfaults.cpp
+++ b/tests/libjobs/testfaults.cpp
@@ -217,6 +217,8 @@
           [](VirtualSite &site) {
               site.isolateWorker(WorkerId("w0"), false);
           } },
+        { "worker cut off within its lease", [](VirtualSite &site) { site.isolateWorker(WorkerId("w0"), true); },
+          [](VirtualSite &site) { site.isolateWorker(WorkerId("w0"), false); }, Milliseconds(3000) },
         { "worker cut off past its lease", [](VirtualSite &site) { site.isolateWorker(WorkerId("w0"), true); },
           [](VirtualSite &site) { site.isolateWorker(WorkerId("w0"), false); }, Milliseconds(9000) },
         { "worker cut from the writer",
--- a/tests/libjobs/testoccurrences.cpp
+++ b/tests/libjobs/testoccurrences.cpp
@@ -117,8 +117,9 @@
     const Job &read = *std::get<JobSnapshot>(slot->records.front()).job;
     BOOST_TEST(read.occurrences.size() == occurrences - 1);
     BOOST_TEST(read.doneOccurrences == job->doneOccurrences);
-    BOOST_TEST(read.task({ { spec.id, 7, 0 }, 1 }) != nullptr);
-    BOOST_TEST(read.task({ { spec.id, 8, 0 }, 1 }) == nullptr);
+    BOOST_TEST(!read.task({ { spec.id, 7, 0 }, 1 }).isDone);
+    BOOST_TEST(read.task({ { spec.id, 8, 0 }, 1 }).isDone);
+    BOOST_TEST(&read.task({ { spec.id, 8, 0 }, 1 }) == &settledTask());
     BOOST_TEST(!read.isStepOpen(8, 0));
 }
 
--- a/tests/libjobs/virtualclients.cpp
+++ b/tests/libjobs/virtualclients.cpp
@@ -13,6 +13,20 @@
 constexpr Milliseconds pollInterval { 700 };
 constexpr Milliseconds lastingInterval { 250 };
 
+/** More occurrences than are stored in full, so that those that are over are forgotten; copies of tasks may run. */
+JobSpec withManyOccurrences(JobSpec spec)
+{
+    constexpr std::uint32_t occurrences = 110;
+    constexpr Milliseconds interval { 40 };
+    spec.schedule->repetitions = occurrences;
+    spec.schedule->interval = interval;
+    spec.steps.resize(1);
+    spec.steps.front().count = 1;
+    spec.steps.front().mayRunCopies = true;
+    spec.steps.front().need.processors = Millicores(500);
+    return spec;
+}
+
 } // namespace
 
 VirtualClients::VirtualClients(VirtualSite &site, std::uint64_t seed)
@@ -184,6 +198,9 @@
             break;
         default:
             spec = repeatedJob(number, WallTime(m_site.wallNow().value() + delay.count() + 800));
+            if (number % 8 == 7) {
+                spec = withManyOccurrences(spec);
+            }
         }
         if (uniformBelow(m_random, 4) == 0) {
             spec = withPayload(spec, "fail=1");
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -392,6 +392,12 @@
     return writer;
 }
 
+std::optional<std::size_t> VirtualSite::trackedWork() const
+{
+    const std::optional<HostId> active = writer();
+    return active ? find(*active).node->trackedWork() : std::nullopt;
+}
+
 std::size_t VirtualSite::writers() const
 {
     return static_cast<std::size_t>(
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -142,6 +142,8 @@
     /** The host that believes itself to be the writer; nullopt when there is none or more than one. */
     [[nodiscard]] std::optional<HostId> writer() const;
     [[nodiscard]] std::size_t writers() const;
+    /** What the writer tracks beside the log, see RunController::trackedWork(); nullopt when there is no one writer. */
+    [[nodiscard]] std::optional<std::size_t> trackedWork() const;
     [[nodiscard]] const SiteConfiguration &configuration() const;
     [[nodiscard]] ConfigurationVersion versionOn(const HostId &host) const;
     [[nodiscard]] std::size_t logCount(std::string_view event) const;
