Place the other tasks of a step when a copy finds no place

A copy may not run on the worker of its task's run. Where only that worker had room, the tasks behind the copy in its step waited as well, although they may run there: callers waited until the first run had ended.

Cause: the first task of a step without a place ended the pass over the step. Change: only a task without constraints of its own does; a pass tries up to 8 that have some.

Evidence: Copies/tasksAreNotHeldUpByACopyWithoutAPlace failed before (the second task didn't start within 4 s of the room), and holds now.

--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -29,11 +29,15 @@
     /** If set, returns whether the task is admitted to a worker. */
     std::function<bool(const WorkerLink &worker)> isAdmitted;
 
+    /** Whether some workers are closed to this task that may be open to others of its step. */
+    [[nodiscard]] bool hasTaskConstraints() const
+    {
+        return (failedWorkers != nullptr && !failedWorkers->empty()) || isLastAttempt || !excludedWorkers.empty();
+    }
     /** Whether only the step and the rack determine which workers are eligible. */
     [[nodiscard]] bool hasOnlyStepConstraints() const
     {
-        return (failedWorkers == nullptr || failedWorkers->empty()) && !isLastAttempt && excludedWorkers.empty()
-            && !isAdmitted;
+        return !hasTaskConstraints() && !isAdmitted;
     }
 };
 
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -17,6 +17,8 @@
 constexpr Milliseconds passInterval { 20 };
 /** Steps without a worker to ask for that one pass goes through to find one with. */
 constexpr std::size_t maxAdmissionTries = 8;
+/** Tasks with constraints of their own for which one pass looks for a worker in vain, in each step. */
+constexpr std::size_t maxConstrainedTries = 8;
 /** Interval at which steps that have no worker to ask for are looked at again. */
 constexpr Milliseconds admissionRetryInterval { 100 };
 
@@ -317,6 +319,7 @@
         return;
     }
     std::optional<WorkerCostTable> costs;
+    std::size_t unplaced = 0;
     for (const std::uint32_t index : ready.tasks) {
         const TaskRef task { step, index };
         std::optional<PlacementRequest> request = requestFor(task, *ready.step, ready.queue);
@@ -328,8 +331,12 @@
         request->isRackNeeded = isWaitingForRack(ready, request->rack);
         WorkerLink *const link = choose(*request, costs);
         if (link == nullptr) {
-            waitForTickets(step, *queue);
-            return;
+            ++unplaced;
+            // Where a task without constraints of its own finds no place, no other task of the step does.
+            if (!request->hasTaskConstraints() || unplaced == maxConstrainedTries) {
+                break;
+            }
+            continue;
         }
         const Assignment assignment { task, link, RunNumber(this->task(task).lastRun.value() + 1) };
         record(assignment, reserve(assignment, ready));
@@ -337,6 +344,9 @@
             costs->update(*link);
         }
     }
+    if (unplaced > 0) {
+        waitForTickets(step, *queue);
+    }
 }
 
 /** Chooses from the step's cost table if the request has no constraints beyond its step and rack. */
