Keep each commit of the log within what the store takes

One over the store's valueBytes is refused each time that it is sent, and nothing else is committed before it.

The size comes from the settings. The virtual store refuses commits beyond small limits, which is a violation in every suite.

--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -22,23 +22,15 @@
 constexpr Milliseconds maxStuckAge { 1200 };
 /** The latest commit enters the moving average with a weight of 1 / averageWeightDivisor. */
 constexpr std::int64_t averageWeightDivisor = 4;
-/** Limits on the records in one slot; they keep the value well below the store's size limit. */
+/** Limit on the records in one slot, which bounds the time that its encoding takes. */
 constexpr std::size_t maxRecordsPerCommit = 2000;
-constexpr std::size_t maxPayloadBytesPerCommit = 300'000;
+/** Share of a value that new records may take; snapshots use the rest. */
+constexpr std::size_t newRecordsFraction = 2;
+/** Bytes of a slot beside its records. */
+constexpr std::size_t slotBytes = 64;
 /** Maximum number of slots trimmed by one commit. */
 constexpr std::size_t maxTrimsPerCommit = 4;
 
-std::size_t payloadBytes(const JobRecord &record)
-{
-    if (const auto *accepted = std::get_if<JobAccepted>(&record)) {
-        return accepted->spec->payload.size();
-    }
-    if (const auto *snapshot = std::get_if<JobSnapshot>(&record)) {
-        return snapshot->job->spec->payload.size();
-    }
-    return 0;
-}
-
 } // namespace
 
 JobLog::JobLog(StoreLayout layout, WriterToken token, std::uint64_t nonce, JobContext &context, JobLogLimits limits,
@@ -166,10 +158,13 @@
     }
     JobSlot slot { m_nonce, m_firstSlot, {} };
     std::size_t taken = 0;
-    std::size_t payload = 0;
-    while (taken < m_pending.size() && taken < maxRecordsPerCommit
-           && (taken == 0 || payload < maxPayloadBytesPerCommit)) {
-        payload += payloadBytes(m_pending[taken]);
+    std::size_t bytes = slotBytes;
+    while (taken < m_pending.size() && taken < maxRecordsPerCommit) {
+        const std::size_t next = maxEncodedBytes(m_pending[taken]);
+        if (taken > 0 && bytes + next > m_limits.valueBytes / newRecordsFraction) {
+            break;
+        }
+        bytes += next;
         ++taken;
     }
     slot.records.assign(std::make_move_iterator(m_pending.begin()),
@@ -186,45 +181,71 @@
     }
     group.commit.conditions = { { m_layout.claimKey(), StoreRevision(m_token.value()) },
                                 { m_layout.logKey(group.slot), StoreRevision(0) } };
-    trim(slot, group.commit);
+    trim(slot, m_limits.valueBytes - std::min(bytes, m_limits.valueBytes), group.commit);
     group.commit.puts = { { m_layout.logKey(group.slot), encodeJobSlot(slot), std::nullopt } };
     m_inFlight = std::move(group);
     m_lastCommit = m_context.now();
     send();
 }
 
-void JobLog::trim(JobSlot &slot, KvCommit &commit)
+/** Deletes the oldest slots in excess once their jobs have moved into @p slot, which has @p spare bytes left. */
+void JobLog::trim(JobSlot &slot, std::size_t spare, KvCommit &commit)
 {
     const std::uint64_t current = m_nextSlot - 1;
     for (std::size_t trimmed = 0; trimmed < maxTrimsPerCommit && current - m_firstSlot >= m_limits.slots; ++trimmed) {
-        snapshotJobs(m_firstSlot, current, slot);
+        spare -= moveJobs(m_firstSlot, current, spare, slot);
+        if (m_basedJobs.contains(m_firstSlot)) {
+            break;
+        }
         commit.deletes.push_back(m_layout.logKey(m_firstSlot));
         ++m_firstSlot;
     }
     slot.firstSlot = m_firstSlot;
 }
 
-void JobLog::snapshotJobs(std::uint64_t slot, std::uint64_t into, JobSlot &group)
+/**
+ * Adds snapshots of the jobs that are based on @p slot, as far as they fit into @p spare bytes; returns the bytes used.
+ *
+ * A job whose snapshot fits into no value stays where it is, and so does the slot, until the job is smaller or closed.
+ */
+std::size_t JobLog::moveJobs(std::uint64_t slot, std::uint64_t into, std::size_t spare, JobSlot &group)
 {
-    const auto based = m_basedJobs.extract(slot);
-    if (based.empty()) {
-        return;
-    }
-    for (const JobId &id : based.mapped()) {
-        const Job *const job = m_table.find(id);
-        if (job == nullptr || m_baseSlot[id] != slot) {
-            continue;
-        }
-        if (isRetentionOver(*job)) {
+    std::size_t used = 0;
+    std::vector<JobId> left;
+    for (const JobId &id : jobsBasedOn(slot)) {
+        const Job &job = *m_table.find(id);
+        if (isRetentionOver(job)) {
             m_baseSlot.erase(id);
             m_table.forget(id);
             continue;
         }
+        const std::size_t bytes = maxSnapshotBytes(job);
+        if (used + bytes > spare) {
+            left.push_back(id);
+            continue;
+        }
+        used += bytes;
         // The snapshot includes records that wait for the next commit; applying those again has no effect.
-        const JobSnapshot snapshot { std::make_shared<const Job>(*job) };
+        const JobSnapshot snapshot { std::make_shared<const Job>(job) };
         setBaseSlot(snapshot, into);
         group.records.emplace_back(snapshot);
     }
+    if (!left.empty()) {
+        m_basedJobs[slot] = std::move(left);
+    }
+    return used;
+}
+
+/** Takes the jobs whose replay starts at @p slot. */
+std::vector<JobId> JobLog::jobsBasedOn(std::uint64_t slot)
+{
+    const auto based = m_basedJobs.extract(slot);
+    std::vector<JobId> jobs = based.empty() ? std::vector<JobId>() : std::move(based.mapped());
+    std::erase_if(jobs, [this, slot](const JobId &id) {
+        const auto base = m_baseSlot.find(id);
+        return m_table.find(id) == nullptr || base == m_baseSlot.end() || base->second != slot;
+    });
+    return jobs;
 }
 
 bool JobLog::isRetentionOver(const Job &job) const
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -35,6 +35,8 @@
     Milliseconds retention { 150'000 };
     /** Maximum number of slots; the oldest ones in excess are trimmed. */
     std::size_t slots = 256;
+    /** Largest value that the store takes. */
+    std::size_t valueBytes = 1'000'000;
 };
 
 /**
@@ -43,8 +45,8 @@
  * Each commit creates the next numbered slot by compare-and-swap: this host's claim must be unchanged and the slot must
  * not exist. A superseded writer therefore can't append, and a commit that is applied late or twice has no effect. The
  * table already contains records that aren't committed; no effect of these may be visible outside before their handler
- * has run. The commit that deletes an old slot also writes a snapshot of each retained job whose base record is in it.
- * Thread safety: one thread at a time.
+ * has run. Before an old slot is deleted, a snapshot is written of each retained job whose base record is in it, as
+ * many in one commit as the store takes. Thread safety: one thread at a time.
  */
 class JobLog
 {
@@ -92,8 +94,9 @@
     void retryLoad();
     void scheduleCommit(Milliseconds delay);
     void commit();
-    void trim(JobSlot &slot, KvCommit &commit);
-    void snapshotJobs(std::uint64_t slot, std::uint64_t into, JobSlot &group);
+    void trim(JobSlot &slot, std::size_t spare, KvCommit &commit);
+    [[nodiscard]] std::size_t moveJobs(std::uint64_t slot, std::uint64_t into, std::size_t spare, JobSlot &group);
+    [[nodiscard]] std::vector<JobId> jobsBasedOn(std::uint64_t slot);
     void send();
     void handleCommit(std::uint64_t slot, TimePoint sentAt, const KvResult &result);
     void handleConflict(const KvError &error, TimePoint sentAt);
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -277,8 +277,10 @@
     options.confirmationTerm = confirmationTerm;
     options.support = { unsupportedTerm, supportTerm };
     options.inherited = inherited;
+    JobLogLimits logLimits;
+    logLimits.valueBytes = m_options.storeValueBytes;
     m_writer = std::make_unique<JobWriter>(
-        m_layout, options, m_options.nonce, m_formats, m_context,
+        m_layout, options, m_options.nonce, logLimits, m_formats, m_context,
         JobWriter::Handlers { [this] { return m_configuration; }, [this] { return heardByAll(); },
                               [this] {
                                   m_context.schedule(Milliseconds(0), m_lifetime.guard([this] { handleSuperseded(); }));
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -26,6 +26,8 @@
     WorkerTiming timing;
     /** Shortest lease term that the store grants. */
     Milliseconds shortestStoreLease { 1000 };
+    /** Largest value that the store takes. */
+    std::size_t storeValueBytes = 1'000'000;
 };
 
 /**
--- a/src/libjobs/jobrecord.cpp
+++ b/src/libjobs/jobrecord.cpp
@@ -110,6 +110,72 @@
     return job;
 }
 
+/** Bounds of what the fixed parts of records take. */
+constexpr std::size_t recordBytes = 128;
+constexpr std::size_t stepBytes = 160;
+constexpr std::size_t headBytes = 5;
+constexpr std::size_t progressBytes = 48;
+constexpr std::size_t runBytes = 32;
+
+std::size_t maxSpecBytes(const JobSpec &spec)
+{
+    std::size_t bytes = recordBytes + spec.id.value().size() + spec.queue.value().size() + spec.payload.size();
+    for (const StepSpec &step : spec.steps) {
+        bytes += stepBytes + step.after.size() * headBytes + step.requiredLabel.value().size()
+            + step.dataRack.value().size() + step.image.value().size();
+    }
+    return bytes;
+}
+
+std::size_t maxProgressBytes(const Task &task)
+{
+    std::size_t bytes = progressBytes + task.checkpoint.value().size();
+    for (const PlacedRun &run : task.runs) {
+        bytes += runBytes + run.worker.value().size();
+    }
+    return bytes;
+}
+
+std::size_t maxOccurrenceBytes(const Occurrence &occurrence)
+{
+    std::size_t bytes = headBytes;
+    for (const StepTasks &step : occurrence.steps) {
+        bytes += headBytes;
+        for (const Task &task : step.tasks) {
+            bytes += task.lastRun.value() > 0 ? maxProgressBytes(task) : 0;
+        }
+    }
+    return bytes;
+}
+
+struct SizeBound
+{
+    std::size_t operator()(const JobAccepted &record) const
+    {
+        return recordBytes + maxSpecBytes(*record.spec);
+    }
+    std::size_t operator()(const RunPlaced &record) const
+    {
+        return recordBytes + record.run.task.step.job.value().size() + record.worker.value().size();
+    }
+    std::size_t operator()(const JobBegun &record) const
+    {
+        return recordBytes + record.job.value().size();
+    }
+    std::size_t operator()(const RunEnded &record) const
+    {
+        return recordBytes + record.run.task.step.job.value().size() + record.checkpoint.value().size();
+    }
+    std::size_t operator()(const JobClosed &record) const
+    {
+        return recordBytes + record.job.value().size();
+    }
+    std::size_t operator()(const JobSnapshot &record) const
+    {
+        return maxSnapshotBytes(*record.job);
+    }
+};
+
 struct Encoder
 {
     json operator()(const JobAccepted &record) const
@@ -198,6 +264,20 @@
     return std::visit(Finder {}, record);
 }
 
+std::size_t maxSnapshotBytes(const Job &job)
+{
+    std::size_t bytes = recordBytes + maxSpecBytes(*job.spec);
+    for (const Occurrence &occurrence : job.occurrences) {
+        bytes += occurrence.isCompacted() ? 1 : maxOccurrenceBytes(occurrence);
+    }
+    return bytes;
+}
+
+std::size_t maxEncodedBytes(const JobRecord &record)
+{
+    return std::visit(SizeBound {}, record);
+}
+
 std::string encodeJobSlot(const JobSlot &slot)
 {
     json records = json::array();
--- a/src/libjobs/jobrecord.h
+++ b/src/libjobs/jobrecord.h
@@ -69,6 +69,11 @@
     std::vector<JobRecord> records;
 };
 
+/** Upper bound of the bytes that @p record takes in a stored slot, without encoding it. Thread safety: reentrant. */
+std::size_t maxEncodedBytes(const JobRecord &record);
+/** The same for the snapshot of @p job. */
+std::size_t maxSnapshotBytes(const Job &job);
+
 /** Encodes @p slot as CBOR, its stored form. Thread safety: reentrant. */
 std::string encodeJobSlot(const JobSlot &slot);
 /** Returns nullopt when @p bytes aren't a valid slot. Thread safety: reentrant. */
--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -28,13 +28,13 @@
 
 } // namespace
 
-JobWriter::JobWriter(StoreLayout layout, RunController::Options options, std::uint64_t nonce, SiteFormats formats,
-                     JobContext &context, Handlers handlers)
+JobWriter::JobWriter(StoreLayout layout, RunController::Options options, std::uint64_t nonce, JobLogLimits logLimits,
+                     SiteFormats formats, JobContext &context, Handlers handlers)
     : m_context(context)
     , m_handlers(std::move(handlers))
     , m_options(std::move(options))
     , m_formats(std::move(formats))
-    , m_log(layout, m_options.token, nonce, context, JobLogLimits {}, [this] { handleShardLost(); })
+    , m_log(layout, m_options.token, nonce, context, logLimits, [this] { handleShardLost(); })
 {
 }
 
--- a/src/libjobs/jobwriter.h
+++ b/src/libjobs/jobwriter.h
@@ -32,8 +32,8 @@
     };
 
     /** Precondition: @p context outlives the object. */
-    JobWriter(StoreLayout layout, RunController::Options options, std::uint64_t nonce, SiteFormats formats,
-              JobContext &context, Handlers handlers);
+    JobWriter(StoreLayout layout, RunController::Options options, std::uint64_t nonce, JobLogLimits logLimits,
+              SiteFormats formats, JobContext &context, Handlers handlers);
 
     /** Loads the log, then starts to handle calls and to place tasks. */
     void begin();
--- a/tests/libjobs/invariantchecker.cpp
+++ b/tests/libjobs/invariantchecker.cpp
@@ -245,6 +245,11 @@
     }
 }
 
+void InvariantChecker::noteCommitBeyondLimits(TimePoint at)
+{
+    recordViolation("LOST", at, "a commit is larger than the store takes");
+}
+
 void InvariantChecker::noteDisturbance(TimePoint from, TimePoint until)
 {
     m_disturbances.emplace_back(from, until);
--- a/tests/libjobs/invariantchecker.h
+++ b/tests/libjobs/invariantchecker.h
@@ -63,6 +63,8 @@
     void noteSubmission(const std::shared_ptr<const JobSpec> &spec);
     void noteCancelSent(const JobId &job, TimePoint at);
     void noteAnswer(const CallerCall &call, const CallAnswer &answer, TimePoint sentAt, TimePoint at);
+    /** The store refused a commit for its size; it would refuse it each time, so that the writer is stuck. */
+    void noteCommitBeyondLimits(TimePoint at);
     /** Faults are injected or act between these times. */
     void noteDisturbance(TimePoint from, TimePoint until);
     /**
--- a/tests/libjobs/testoccurrences.cpp
+++ b/tests/libjobs/testoccurrences.cpp
@@ -44,7 +44,7 @@
 {
     Milliseconds alone {};
     for (const std::uint32_t repetitions : { 1U, 20'000U, 100'000U }) {
-        VirtualSite site({ .listedEnds = platformListedEnds });
+        VirtualSite site({ .listedEnds = platformListedEnds, .valueBytes = platformValueBytes });
         site.run(startTime);
         BOOST_TEST(site.submit(jobDueTogether(site, repetitions, Milliseconds(500))));
         site.run(Milliseconds(700));
@@ -65,7 +65,7 @@
 /** The next writer loaded the job and ended in the same way. */
 BOOST_AUTO_TEST_CASE(manyDueAtATakeoverLeaveOtherJobsTheirTurn)
 {
-    VirtualSite site({ .listedEnds = platformListedEnds });
+    VirtualSite site({ .listedEnds = platformListedEnds, .valueBytes = platformValueBytes });
     site.run(startTime);
     BOOST_TEST(site.submit(jobDueTogether(site, 100'000, Milliseconds(1500))));
     site.killHost(site.writer().value());
@@ -78,7 +78,7 @@
 /** Each occurrence runs once, also when the writer changes in between. */
 BOOST_AUTO_TEST_CASE(manyDueTogetherAreAllCompleted)
 {
-    VirtualSite site({ .listedEnds = platformListedEnds });
+    VirtualSite site({ .listedEnds = platformListedEnds, .valueBytes = platformValueBytes });
     site.run(startTime);
     const JobSpec job = jobDueTogether(site, 2500, Milliseconds(200));
     BOOST_TEST(site.submit(job));
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -42,6 +42,7 @@
 VirtualSite::VirtualSite(VirtualSiteOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_store({ .valueBytes = m_options.valueBytes })
     , m_admission(m_options.admission)
 {
     m_configuration.version = ConfigurationVersion(1);
@@ -121,6 +122,7 @@
     options.peerAddress = host.address;
     options.processors = host.processors;
     options.nonce = m_random();
+    options.storeValueBytes = m_options.valueBytes;
     host.node = std::make_unique<JobNode>(
         options, testFormats(m_configuration, [this](const std::string &id) { return entryOf(WorkerId(id)); }),
         *host.context);
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -17,6 +17,8 @@
 
 /** How many ends the platform's workers list at a time, for sites under a load that needs as many. */
 constexpr std::size_t platformListedEnds = 500;
+/** Largest value that the platform's store takes, likewise. */
+constexpr std::size_t platformValueBytes = 1'048'576;
 
 /** Initial hosts and workers of a VirtualSite. */
 struct VirtualSiteOptions
@@ -30,6 +32,8 @@
     std::uint32_t attemptLimit = 3;
     /** How many ends a worker lists at a time. */
     std::size_t listedEnds = 2;
+    /** Largest value that the store takes. */
+    std::size_t valueBytes = 16'384;
     VirtualAdmissionOptions admission { .admits = admitsTwoThirds };
 };
 
--- a/tests/libjobs/virtualsitewires.cpp
+++ b/tests/libjobs/virtualsitewires.cpp
@@ -208,7 +208,11 @@
         });
         return;
     }
+    const std::size_t beyondLimits = m_store.commitsBeyondLimits();
     const KvResult result = m_store.execute(request, m_now);
+    if (m_store.commitsBeyondLimits() > beyondLimits) {
+        m_judge.noteCommitBeyondLimits(m_now);
+    }
     const bool isWrite = std::holds_alternative<KvCommit>(request);
     if (isWrite && uniformUnit(m_random) < m_storeReplyLoss) {
         return;
--- a/tests/libjobs/virtualstore.cpp
+++ b/tests/libjobs/virtualstore.cpp
@@ -11,6 +11,11 @@
 
 } // namespace
 
+VirtualStore::VirtualStore(Limits limits)
+    : m_limits(limits)
+{
+}
+
 KvResult VirtualStore::execute(const KvRequest &request, TimePoint now)
 {
     advance(now);
@@ -109,8 +114,20 @@
     return reply;
 }
 
+bool VirtualStore::isWithinLimits(const KvCommit &request) const
+{
+    return request.conditions.size() + request.puts.size() + request.deletes.size() <= m_limits.entries
+        && std::ranges::all_of(request.puts, [this](const KvPut &put) {
+               return put.key.size() <= m_limits.keyBytes && put.value.size() <= m_limits.valueBytes;
+           });
+}
+
 KvResult VirtualStore::commit(const KvCommit &request)
 {
+    if (!isWithinLimits(request)) {
+        ++m_commitsBeyondLimits;
+        return tl::unexpected(KvError { KvErrorKind::Refused, {} });
+    }
     const bool holds = std::ranges::all_of(request.conditions, [this](const KvCondition &condition) {
         return revisionOf(condition.key) == condition.revision;
     });
@@ -254,6 +271,11 @@
     }
 }
 
+std::size_t VirtualStore::commitsBeyondLimits() const
+{
+    return m_commitsBeyondLimits;
+}
+
 std::size_t VirtualStore::commits() const
 {
     return m_commits;
--- a/tests/libjobs/virtualstore.h
+++ b/tests/libjobs/virtualstore.h
@@ -17,6 +17,18 @@
 class VirtualStore
 {
 public:
+    /** Limits of the platform's store; a commit beyond one of them is refused, however often it is sent. */
+    struct Limits
+    {
+        std::size_t keyBytes = 200;
+        std::size_t valueBytes = 1'048'576;
+        /** Conditions, puts and deletes together. */
+        std::size_t entries = 32;
+    };
+
+    VirtualStore() = default;
+    explicit VirtualStore(Limits limits);
+
     /** Executes @p request at @p now; a watch without changes gives an empty reply. */
     KvResult execute(const KvRequest &request, TimePoint now);
     /**
@@ -51,6 +63,8 @@
     /** Suspends or resumes the expiry of leases; in either case each lease lasts at least its term from @p now on. */
     void suspendLeaseExpiry(bool isSuspended, TimePoint now);
 
+    /** Number of commits that were refused for a limit. */
+    [[nodiscard]] std::size_t commitsBeyondLimits() const;
     /** Number of commits that took effect. */
     [[nodiscard]] std::size_t commits() const;
 
@@ -74,6 +88,7 @@
     void write(const std::string &key, const std::string &value, LeaseId lease);
     void erase(const std::string &key);
     void endLease(LeaseId lease);
+    [[nodiscard]] bool isWithinLimits(const KvCommit &request) const;
     [[nodiscard]] StoreRevision revisionOf(const std::string &key) const;
 
     std::map<std::string, Entry> m_entries;
@@ -85,6 +100,8 @@
     bool m_isLeaseExpirySuspended = false;
     bool m_areWatchesHeld = false;
     std::size_t m_commits = 0;
+    std::size_t m_commitsBeyondLimits = 0;
+    Limits m_limits;
 };
 
 } // namespace currantring
