Play slow worker clocks and wide ticket requests, and show the new limits

The virtual workers' clocks ran exact and no test named over 30 workers to the admission service, so two limits of the platform's protocol were never met.

--- a/tests/libjobs/testadmission.cpp
+++ b/tests/libjobs/testadmission.cpp
@@ -201,6 +201,20 @@
     test.requireNoViolation();
 }
 
+/** Guards against requests that the service refuses since they name too many workers. */
+BOOST_AUTO_TEST_CASE(requestsNameNoMoreWorkersThanTheServiceTakes)
+{
+    constexpr std::size_t serviceLimit = 100;
+    AdmittingSite test(idleSite(150));
+    JobSpec wide = admittedStep(1, 150);
+    wide.steps.front().spreadLimit = 1;
+    test.submit(wide);
+    BOOST_TEST(test.site.runUntil([&test] { return test.site.judge().starts() == 150U; }, Milliseconds(20'000)));
+    BOOST_TEST(test.site.admission().mostWorkersNamed() <= serviceLimit);
+    BOOST_TEST(test.site.admission().mostWorkersNamed() > 30U);
+    test.requireNoViolation();
+}
+
 /** Guards against a step that never starts since a request takes nearly as long as its tickets are valid. */
 BOOST_DATA_TEST_CASE(requestMayTakeNearlyAsLongAsTheTicketsAreValid, data::make({ false, true }), countsFromRequest)
 {
--- a/tests/libjobs/testendlists.cpp
+++ b/tests/libjobs/testendlists.cpp
@@ -70,10 +70,10 @@
         take<StopOrder>()(answerNow());
     }
 
-    /** The acknowledgement in the poll under way. */
-    [[nodiscard]] EndNumber acknowledged() const
+    /** The latest poll, which is under way. */
+    [[nodiscard]] const PollOrder &poll() const
     {
-        return std::get<PollOrder>(m_calls.back().first).acknowledged;
+        return std::get<PollOrder>(m_calls.back().first);
     }
 
     [[nodiscard]] const std::vector<RunRef> &lost() const
@@ -423,7 +423,9 @@
     worker.answerPoll({}, { endOf(4, 8), endOf(5, 9) }, ListExtent::Partial);
     BOOST_TEST(!worker.newEnds().has_value());
     worker.link().acknowledge({ workerChannel, EndNumber(5) });
-    BOOST_TEST(worker.acknowledged().value() == 5U);
+    BOOST_TEST(worker.poll().acknowledged.value() == 5U);
+    // Left unacknowledged, such an end made the worker answer at once, again and again.
+    BOOST_TEST((worker.poll().wait == WorkerTiming {}.pollWait));
     worker.answerPoll({}, { endOf(6, 0) }, ListExtent::Complete);
     BOOST_TEST((worker.ended() == std::vector { runOf(0) }));
 }
--- a/tests/libjobs/virtualadmission.cpp
+++ b/tests/libjobs/virtualadmission.cpp
@@ -28,6 +28,7 @@
 {
     std::vector<TimePoint> &answers = m_answers[host];
     std::erase_if(answers, [now](TimePoint at) { return at <= now; });
+    m_mostWorkersNamed = std::max(m_mostWorkersNamed, workers);
     // The first of them is being handled.
     if (answers.size() > maxWaitingRequests) {
         return std::nullopt;
@@ -82,6 +83,11 @@
     m_slowness = factor;
 }
 
+std::size_t VirtualAdmission::mostWorkersNamed() const
+{
+    return m_mostWorkersNamed;
+}
+
 std::size_t VirtualAdmission::requests() const
 {
     return m_requests.size();
--- a/tests/libjobs/virtualadmission.h
+++ b/tests/libjobs/virtualadmission.h
@@ -63,6 +63,8 @@
     void setSlowness(std::int64_t factor);
 
     [[nodiscard]] std::size_t requests() const;
+    /** The most workers that one request named. */
+    [[nodiscard]] std::size_t mostWorkersNamed() const;
     /** Share of the time that the service was busy that belongs to requests whose tickets were used for a start. */
     [[nodiscard]] double usefulShare() const;
 
@@ -77,6 +79,7 @@
     VirtualAdmissionOptions m_options;
     AdmissionFault m_fault = AdmissionFault::None;
     std::int64_t m_slowness = 1;
+    std::size_t m_mostWorkersNamed = 0;
     std::vector<Request> m_requests;
     /** When the requests of a host will be answered. */
     std::map<HostId, std::vector<TimePoint>> m_answers;
--- a/tests/libjobs/virtualworker.cpp
+++ b/tests/libjobs/virtualworker.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Milliseconds maxLeaseTerm { 6000 };
+/** How slow the clocks of workers may run; their leases last longer by that share. */
+constexpr double clockRate = 0.98;
 constexpr Milliseconds stopDuration { 100 };
 constexpr Milliseconds failureDelay { 20 };
 constexpr Milliseconds gangTimeout { 3000 };
@@ -172,7 +174,8 @@
 void VirtualWorker::extendLease(WorkerTime until, TimePoint now)
 {
     const Milliseconds left(until.value() - clock(now).value());
-    const TimePoint end = now + std::min(left, maxLeaseTerm);
+    const auto granted = static_cast<double>(std::min(left, maxLeaseTerm).count());
+    const TimePoint end = now + Milliseconds(static_cast<std::int64_t>(granted / clockRate));
     m_leaseEnd = std::max(m_leaseEnd.value_or(end), end);
 }
 
@@ -301,7 +304,8 @@
 
 WorkerTime VirtualWorker::clock(TimePoint now) const
 {
-    return WorkerTime((now - m_startedAt + m_clockOffset).count());
+    const auto age = static_cast<double>((now - m_startedAt).count());
+    return WorkerTime(static_cast<std::int64_t>(age * clockRate) + m_clockOffset.count());
 }
 
 WorkerAnswer VirtualWorker::answer(TimePoint now) const
