Look for a place of a copy only where other tasks of its step find one

Now the pass first asks whether a task without constraints would find a place, which the pass's cache answers for all steps alike.

--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -34,6 +34,12 @@
     {
         return (failedWorkers != nullptr && !failedWorkers->empty()) || isLastAttempt || !excludedWorkers.empty();
     }
+    void dropTaskConstraints()
+    {
+        failedWorkers = nullptr;
+        isLastAttempt = false;
+        excludedWorkers.clear();
+    }
     /** Whether only the step and the rack determine which workers are eligible. */
     [[nodiscard]] bool hasOnlyStepConstraints() const
     {
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -332,8 +332,7 @@
         WorkerLink *const link = choose(*request, costs);
         if (link == nullptr) {
             ++unplaced;
-            // Where a task without constraints of its own finds no place, no other task of the step does.
-            if (!request->hasTaskConstraints() || unplaced == maxConstrainedTries) {
+            if (unplaced == maxConstrainedTries || !hasPlaceForOthers(*request, costs)) {
                 break;
             }
             continue;
@@ -349,6 +348,17 @@
     }
 }
 
+/** Whether a task of the same step without constraints of its own finds a place where the task of @p request doesn't.
+ */
+bool RunStarter::hasPlaceForOthers(PlacementRequest request, std::optional<WorkerCostTable> &costs)
+{
+    if (!request.hasTaskConstraints()) {
+        return false;
+    }
+    request.dropTaskConstraints();
+    return choose(request, costs) != nullptr;
+}
+
 /** Chooses from the step's cost table if the request has no constraints beyond its step and rack. */
 WorkerLink *RunStarter::choose(const PlacementRequest &request, std::optional<WorkerCostTable> &costs)
 {
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -72,6 +72,7 @@
     [[nodiscard]] std::vector<StepRef> stepsByUrgency() const;
     void placeStep(const StepRef &step);
     void placeTasks(const StepRef &step, const ReadyStep &ready);
+    bool hasPlaceForOthers(PlacementRequest request, std::optional<WorkerCostTable> &costs);
     WorkerLink *choose(const PlacementRequest &request, std::optional<WorkerCostTable> &costs);
     void placeGang(const StepRef &step, const ReadyStep &ready);
     bool placeGangOn(const StepRef &step, const ReadyStep &ready, const Label &rack);
--- a/tests/libjobs/testendlists.cpp
+++ b/tests/libjobs/testendlists.cpp
@@ -158,7 +158,7 @@
         const auto call = std::ranges::find_if(
             m_calls, [](const auto &pending) { return std::holds_alternative<Order>(pending.first); });
         BOOST_REQUIRE((call != m_calls.end()));
-        const JobDriver::WorkerHandler then = call->second;
+        JobDriver::WorkerHandler then = call->second;
         m_calls.erase(call);
         return then;
     }
