Place best-effort tasks only where they needn't be throttled

Cause: fillers were placed beyond the unused processors, and beside serving tasks that would be over their target at peak load, as throttling was to make up for it. Under overload they were halted, stopped and placed again, and the serving tasks were over their targets all the same. Change: FillerCost closes a worker to a filler that exceeds the unused processors or would have to be throttled at peak load, with a margin for the delay of pace orders.

--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -1,5 +1,7 @@
 #include "runplacer.h"
 
+#include "fillercost.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -14,20 +16,9 @@
 constexpr double suspicionWeight = 1;
 /** A task on its last attempt isn't placed on a worker with a higher suspicion. */
 constexpr double maxLastAttemptSuspicion = 0.5;
-/** Stress margin below a serving task's limit that must remain after a filler is placed. */
-constexpr double placementStressMargin = 0.03;
 /** Fraction of their processors that serving tasks use at mean load. */
 constexpr double servingUtilization = 0.5;
 constexpr double minUnusedMillicores = 1000;
-/** Below this contention fillers run at full speed, so a lower value brings no benefit. */
-constexpr double minContention = 0.5;
-/** Fillers wait rather than exceed this contention, which would delay all of them. */
-constexpr double maxContention = 1.15;
-/** Stress above the limit at peak load that pacing of the fillers can absorb. */
-constexpr double maxPeakExcess = 0.05;
-/** Cost weights of the stress above the limit at peak load, and of the coefficient of an image pair. */
-constexpr double excessWeight = 10;
-constexpr double coefficientWeight = 1.5;
 /** Cost of a worker outside the rack of the data or of the step's other tasks. */
 constexpr double otherRackCost = 5;
 constexpr double mixedImagesCost = 2;
@@ -242,24 +233,16 @@
     return request.step.isServing() ? servingCost(link, request) : batchCost(link);
 }
 
-/** Combines the slowdown of fillers by contention with their interference with serving tasks. */
 std::optional<double> RunPlacer::fillerCost(const WorkerLink &link, const PlacementRequest &request) const
 {
-    const double contention = contentionWith(request.step, link);
-    if (contention > maxContention && link.reservedResources().fillerDemand().value() > 0) {
-        return std::nullopt;
-    }
-    double interference = 0;
+    const bool isFirst = link.reservedResources().fillerDemand().value() == 0;
+    FillerCost cost(contentionWith(request.step, link), isFirst);
+    const double fraction = fractionOf(request.step.need.processors, link);
     for (const WorkerInterference::Servers &servers : m_interference.of(link).servers) {
         const double coefficient = m_interference.coefficient(request.step.image, servers);
-        const double added = coefficient * fractionOf(request.step.need.processors, link);
-        const double excess = std::max(servers.peakOverLimit + added, 0.0);
-        if (servers.stressOverLimit + added > -placementStressMargin || excess > maxPeakExcess) {
-            return std::nullopt;
-        }
-        interference = std::max(interference, excess * excessWeight + coefficient * coefficientWeight);
+        cost.add({ servers.stressOverLimit, servers.peakOverLimit, coefficient, coefficient * fraction });
     }
-    return std::max(contention, minContention) + interference;
+    return cost.total();
 }
 
 /** Packs serving tasks of one image together, which leaves room for fillers that don't interfere with that image. */
