Refuse jobs that can't be finished in time under load

Cause: every job was accepted, also when the work that precedes it couldn't be completed within three times its objective. Such a job has no value to its caller and takes processors from others. Change: LoadAdmission predicts the finish of a submitted job from the waiting work that precedes it, the recent completion rate and its critical path, and refuses it with a retry time. RunStarter sums up what a pass leaves waiting at most every 100 ms; JobWriter asks before anything is appended to the log.

--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -2,6 +2,7 @@
 
 #include "jobevents.h"
 
+#include <cmath>
 #include <utility>
 
 namespace currantring {
@@ -105,6 +106,10 @@
         return;
     }
     if (refuseWhileStuck(call, then)) {
+        m_context.count("submissions_refused", "store-stuck");
+        return;
+    }
+    if (refuseUnderLoad(call, then)) {
         return;
     }
     m_accepting[id].push_back(std::move(then));
@@ -136,6 +141,31 @@
     return true;
 }
 
+/** Refuses a new job that can't be finished in time, before anything of it is appended to the log. */
+bool JobWriter::refuseUnderLoad(const SubmitJob &call, const Answer &then)
+{
+    const LoadDecision decision = m_controller->admissionOf(call.spec);
+    if (decision.isPredicted) {
+        m_context.observe("predicted_wait_ms", call.spec->queue, decision.isAccepted ? "accepted" : "refused",
+                          decision.wait);
+    }
+    if (decision.isAccepted) {
+        return false;
+    }
+    m_context.count("submissions_refused", "load");
+    m_context.log(LogLevel::Info, events::jobRefusedLoad,
+                  { { "job", call.spec->id.value() },
+                    { "queue", call.spec->queue.value() },
+                    { "predicted_finish_ms", std::to_string(decision.finish.count()) },
+                    { "objective_ms", std::to_string(decision.objective.count()) },
+                    { "backlog_core_s", std::to_string(std::llround(decision.backlog)) },
+                    { "rate_cores", std::to_string(std::llround(decision.rate)) },
+                    { "input_age_ms", std::to_string(decision.inputAge.count()) },
+                    { "retry_ms", std::to_string(decision.retryAfter.count()) } });
+    then({ CallOutcome::Refused, {}, 0, decision.retryAfter });
+    return true;
+}
+
 void JobWriter::read(const ReadJob &call, const Answer &then)
 {
     const Job *const job = m_log.table().find(call.job);
--- a/src/libjobs/jobwriter.h
+++ b/src/libjobs/jobwriter.h
@@ -64,6 +64,7 @@
     void count(const CountWaiting &call, const Answer &then);
     void answerCount(const CountWaiting &call, const Answer &then) const;
     bool refuseWhileStuck(const CallerCall &call, const Answer &then);
+    bool refuseUnderLoad(const SubmitJob &call, const Answer &then);
     void answerUnknown(const Answer &then);
     void handleShardLost();
     void scheduleWriterCheck();
--- /dev/null
+++ b/src/libjobs/loadadmission.cpp
@@ -0,0 +1,247 @@
+#include "loadadmission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace currantring {
+
+namespace {
+
+/** A job finished later than this multiple of its objective has no value to its caller. */
+constexpr double lateFactor = 3;
+/** Estimates may be missing; a task is taken to last at least this long. */
+constexpr Milliseconds minEstimate { 50 };
+/** A task isn't counted as longer than this multiple of the recent mean, as its estimate may be days. */
+constexpr double maxMeanDurations = 4;
+/** Estimates that are too high are corrected by at most this factor. */
+constexpr double minRatio = 0.05;
+/** Weight of one run in the learnt means. */
+constexpr double runWeight = 0.05;
+/** A writer that hasn't been active for this long knows too little to refuse. */
+constexpr Milliseconds minActive { 3000 };
+/** Work has to be left waiting for this long: the rate is that of full workers only then. */
+constexpr Milliseconds minBacklogTime { 2000 };
+/** Interval at which the waiting work is summed up, which bounds the cost. */
+constexpr Milliseconds sumInterval { 100 };
+/** Sums older than this aren't used: the writer is late with its passes. */
+constexpr Milliseconds maxSumAge { 1000 };
+/** A shorter wait than the shortest retry time never leads to a refusal, which would cost the caller more. */
+constexpr double minRetryMs = 1000;
+constexpr double maxRetryMs = 60'000;
+/** The returns of callers are spread over this fraction of the retry time, and at least over minRetryMs. */
+constexpr double spreadFraction = 0.25;
+/** Keeps sums of estimates of years representable. */
+constexpr double maxMs = 1e12;
+
+double flooredMs(Milliseconds estimate)
+{
+    return static_cast<double>(std::max(estimate, minEstimate).count());
+}
+
+double workOf(const StepSpec &step, std::size_t tasks)
+{
+    return static_cast<double>(step.need.processors.value()) * static_cast<double>(tasks) * flooredMs(step.estimate);
+}
+
+Milliseconds toMilliseconds(double ms)
+{
+    return Milliseconds(static_cast<std::int64_t>(std::min(ms, maxMs)));
+}
+
+void learn(double &mean, double sample)
+{
+    mean += (sample - mean) * runWeight;
+}
+
+CapacityClass classOf(const StepSpec &step, const QueueEntry &queue)
+{
+    return { queue.service, step.isFiller };
+}
+
+/** End of the critical path when no step begins before @p earliest of it. */
+template<typename Earliest>
+double pathMs(const JobSpec &spec, Earliest earliest)
+{
+    std::vector<double> endsAt;
+    double longest = 0;
+    for (const StepSpec &step : spec.steps) {
+        double beginsAt = earliest(step);
+        for (const std::uint32_t earlier : step.after) {
+            beginsAt = std::max(beginsAt, endsAt[earlier]);
+        }
+        endsAt.push_back(beginsAt + flooredMs(step.estimate));
+        longest = std::max(longest, endsAt.back());
+    }
+    return longest;
+}
+
+} // namespace
+
+double wholeWork(const JobSpec &spec)
+{
+    double work = 0;
+    for (const StepSpec &step : spec.steps) {
+        work += workOf(step, step.count);
+    }
+    return work;
+}
+
+double remainingWork(const Job &job, std::uint32_t occurrence)
+{
+    const std::vector<StepTasks> &steps = job.occurrences.at(occurrence).steps;
+    double work = 0;
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        work += workOf(job.spec->steps.at(index), steps[index].tasks.size() - steps[index].doneCount);
+    }
+    return work;
+}
+
+LoadAdmission::LoadAdmission(TimePoint activeSince)
+    : m_activeSince(activeSince)
+{
+}
+
+bool LoadAdmission::needsLeftWork(std::size_t steps, TimePoint now) const
+{
+    return steps == 0 ? !m_backlogs.empty() : now - m_leftAt >= sumInterval;
+}
+
+void LoadAdmission::takeLeftWork(const LeftWork &left)
+{
+    std::map<CapacityClass, Backlog> backlogs;
+    for (const WaitingStep &step : left.steps) {
+        Backlog &backlog = backlogs[step.capacity];
+        const auto processors = static_cast<double>(step.need.processors.value());
+        const double work = countedMs(step.capacity, step.queue, step.estimate) * processors;
+        backlog.work.add(step.urgency, step.jobWork, work * static_cast<double>(step.tasks));
+        backlog.leastProcessors = std::min(backlog.leastProcessors, step.need.processors);
+        backlog.leastMemory = std::min(backlog.leastMemory, step.need.memory);
+    }
+    for (auto &[capacity, backlog] : backlogs) {
+        backlog.work.sum();
+        const auto before = m_backlogs.find(capacity);
+        backlog.since = before == m_backlogs.end() ? left.at : before->second.since;
+        const auto service = left.capacity.find(capacity.service);
+        if (service != left.capacity.end() && service->second.total.value() > 0) {
+            const Millicores running = capacity.isBestEffort ? service->second.bestEffort : service->second.counted;
+            backlog.hasCapacity = running.value() > 0;
+        }
+    }
+    m_backlogs = std::move(backlogs);
+    m_leftAt = left.at;
+}
+
+void LoadAdmission::recordDone(const CapacityClass &capacity, const QueueName &queue, const StepSpec &step,
+                               Milliseconds took, TimePoint now)
+{
+    const auto tookMs = static_cast<double>(std::max(took, Milliseconds(1)).count());
+    const double ratio = std::min(tookMs / flooredMs(step.estimate), 1.0);
+    learn(m_ratios.try_emplace(queue, ratio).first->second, ratio);
+    Learnt &learnt = m_learnt[capacity];
+    if (!learnt.meanMs) {
+        learnt.meanMs = tookMs;
+    }
+    learn(*learnt.meanMs, tookMs);
+    const auto processors = static_cast<double>(step.need.processors.value());
+    learnt.rate.record(countedMs(capacity, queue, step.estimate) * processors, now);
+}
+
+/** Duration at which a task is counted, both while it waits and in the rate. */
+double LoadAdmission::countedMs(const CapacityClass &capacity, const QueueName &queue, Milliseconds estimate) const
+{
+    const auto ratio = m_ratios.find(queue);
+    const double corrected = flooredMs(estimate) * (ratio == m_ratios.end() ? 1 : std::max(ratio->second, minRatio));
+    const auto learnt = m_learnt.find(capacity);
+    const bool hasMean = learnt != m_learnt.end() && learnt->second.meanMs;
+    return hasMean ? std::min(corrected, *learnt->second.meanMs * maxMeanDurations) : corrected;
+}
+
+bool LoadAdmission::mayRefuse(const JobSpec &spec, TimePoint now) const
+{
+    return !m_backlogs.empty() && now - m_leftAt <= maxSumAge && now - m_activeSince >= minActive && !spec.schedule
+        && std::ranges::none_of(spec.steps, &StepSpec::isLasting);
+}
+
+LoadAdmission::Wait LoadAdmission::waitOf(const CapacityClass &capacity, const StepSpec &step,
+                                          const JobUrgency &urgency, double jobWork, TimePoint now) const
+{
+    const auto found = m_backlogs.find(capacity);
+    const auto learnt = m_learnt.find(capacity);
+    if (found == m_backlogs.end() || learnt == m_learnt.end()) {
+        return {};
+    }
+    const Backlog &backlog = found->second;
+    // A task that needs less than each one that waits may fit where they don't.
+    const bool mayFit = step.need.processors < backlog.leastProcessors || step.need.memory < backlog.leastMemory;
+    const std::optional<double> rate = learnt->second.rate.rate(now);
+    if (mayFit || !backlog.hasCapacity || now - backlog.since < minBacklogTime || !rate) {
+        return {};
+    }
+    const double preceding = backlog.work.preceding(urgency, jobWork);
+    return { preceding / *rate, preceding, *rate, capacity };
+}
+
+LoadAdmission::Prediction LoadAdmission::predict(const JobSpec &spec, const QueueEntry &queue,
+                                                 const JobUrgency &urgency, TimePoint now) const
+{
+    const double jobWork = wholeWork(spec);
+    Prediction prediction;
+    prediction.finishMs = pathMs(spec, [&](const StepSpec &step) {
+        const Wait wait = waitOf(classOf(step, queue), step, urgency, jobWork, now);
+        if (wait.ms > prediction.longest.ms) {
+            prediction.longest = wait;
+        }
+        return wait.ms;
+    });
+    return prediction;
+}
+
+LoadDecision LoadAdmission::decide(const JobSpec &spec, const QueueEntry &queue, const JobUrgency &urgency,
+                                   TimePoint now)
+{
+    m_refused.forgetReturned(now);
+    m_refused.forget(spec.id);
+    const Prediction prediction = predict(spec, queue, urgency, now);
+    const double path = pathMs(spec, [](const StepSpec &) { return 0.0; });
+    const double objective = path * queue.stretch + static_cast<double>(queue.targetLatency.count());
+    const double limit = std::max(lateFactor * objective, path + minRetryMs);
+    LoadDecision decision;
+    decision.isPredicted = prediction.longest.rate > 0;
+    decision.isAccepted = prediction.finishMs <= limit;
+    decision.wait = toMilliseconds(prediction.longest.ms);
+    decision.finish = toMilliseconds(prediction.finishMs);
+    decision.objective = toMilliseconds(objective);
+    constexpr double msPerSecond = 1000;
+    decision.backlog = prediction.longest.preceding / msPerSecond / msPerSecond;
+    decision.rate = prediction.longest.rate / msPerSecond;
+    decision.inputAge = now - m_leftAt;
+    if (!decision.isAccepted) {
+        decision.retryAfter = scheduleReturn(spec, queue, prediction.longest, std::max(objective - path, 0.0), now);
+    }
+    return decision;
+}
+
+/**
+ * When the work before the job, and that of the jobs refused before it, has drained so far that the job can be on time,
+ * counted from its return.
+ */
+Milliseconds LoadAdmission::scheduleReturn(const JobSpec &spec, const QueueEntry &queue, const Wait &wait,
+                                           double slackMs, TimePoint now)
+{
+    const double expected = m_refused.expected(wait.capacity, queue.priority);
+    const double drainedMs = std::clamp(wait.ms + expected / wait.rate - slackMs, minRetryMs, maxRetryMs);
+    const auto window = static_cast<std::uint64_t>(std::max(drainedMs * spreadFraction, minRetryMs));
+    const auto spread = static_cast<std::int64_t>(stableHash(spec.id.value()) % window);
+    const Milliseconds retryAfter = toMilliseconds(drainedMs) + Milliseconds(spread);
+    double work = 0;
+    for (const StepSpec &step : spec.steps) {
+        if (classOf(step, queue) == wait.capacity) {
+            work += countedMs(wait.capacity, queue.name, step.estimate)
+                * static_cast<double>(step.need.processors.value()) * static_cast<double>(step.count);
+        }
+    }
+    m_refused.note(spec.id, wait.capacity, queue.priority, work, now + retryAfter);
+    return retryAfter;
+}
+
+} // namespace currantring
--- /dev/null
+++ b/src/libjobs/loadadmission.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "completionrate.h"
+#include "jobspec.h"
+#include "refusedwork.h"
+#include "siteconfiguration.h"
+#include "waitingwork.h"
+
+#include <limits>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace currantring {
+
+/** The tasks of one step that a placement pass left without a worker. */
+struct WaitingStep
+{
+    CapacityClass capacity;
+    JobUrgency urgency;
+    QueueName queue;
+    /** Remaining work of the step's job; see remainingWork(). */
+    double jobWork = 0;
+    std::size_t tasks = 0;
+    /** What each task needs, and its estimated duration. */
+    Resources need;
+    Milliseconds estimate {};
+};
+
+/** What a placement pass left waiting, and the processors that there are. */
+struct LeftWork
+{
+    TimePoint at {};
+    std::vector<WaitingStep> steps;
+    std::map<ServiceName, ServiceCapacity> capacity;
+};
+
+/** Whether a job may be accepted under the present load, with the figures that the decision rests on. */
+struct LoadDecision
+{
+    bool isAccepted = true;
+    /** Whether a prediction was made; the fields below are set only then. */
+    bool isPredicted = false;
+    /** Time from now on until the job's first task starts, and until the job is finished, if all goes well. */
+    Milliseconds wait {};
+    Milliseconds finish {};
+    Milliseconds objective {};
+    /** Work that precedes the job, in core-seconds; the rate at which it is completed, in cores; their age. */
+    double backlog = 0;
+    double rate = 0;
+    Milliseconds inputAge {};
+    /** Refused: when the job will be served. */
+    Milliseconds retryAfter {};
+};
+
+/** Millicore-milliseconds of all tasks of @p spec at their estimates. Thread safety: reentrant. */
+double wholeWork(const JobSpec &spec);
+/** The same for the tasks of an occurrence that aren't done. Precondition: it has begun. Thread safety: reentrant. */
+double remainingWork(const Job &job, std::uint32_t occurrence);
+
+/**
+ * Refuses jobs while more work waits before them than can be completed within three times their objective.
+ *
+ * It handles bursts of submissions beyond the capacity that last longer than jobs can wait, and a lower priority behind
+ * a backlog of higher ones. Accepting such jobs gives their callers nothing and takes processors from others. The
+ * prediction is optimistic: the highest recent rate, no further arrivals, and only the tasks that could start now. All
+ * work is counted at the recent ratio of durations to estimates where estimates are too high, so that a common error
+ * of the estimates cancels out between the waiting work and the rate. Thread safety: one thread at a time.
+ */
+class LoadAdmission
+{
+public:
+    /** @p activeSince: when the writer became active; jobs are refused only some time after that. */
+    explicit LoadAdmission(TimePoint activeSince);
+
+    /** Whether takeLeftWork() is due after a pass that left @p steps steps waiting. */
+    [[nodiscard]] bool needsLeftWork(std::size_t steps, TimePoint now) const;
+    /** Takes what the last placement pass left waiting. */
+    void takeLeftWork(const LeftWork &left);
+    /** Records a task that ended with its work done after @p took. */
+    void recordDone(const CapacityClass &capacity, const QueueName &queue, const StepSpec &step, Milliseconds took,
+                    TimePoint now);
+    /** Whether decide() may refuse @p spec; when it may not, the job is accepted. */
+    [[nodiscard]] bool mayRefuse(const JobSpec &spec, TimePoint now) const;
+    /** @p urgency: that of the job if it is accepted at @p now. Precondition: mayRefuse(). */
+    LoadDecision decide(const JobSpec &spec, const QueueEntry &queue, const JobUrgency &urgency, TimePoint now);
+
+private:
+    /** What waits for one class of capacity. */
+    struct Backlog
+    {
+        WaitingWork work;
+        /** Since when each pass that was looked at has left work waiting. */
+        TimePoint since {};
+        /** The least that any waiting task needs. */
+        Millicores leastProcessors { std::numeric_limits<std::int64_t>::max() };
+        Mebibytes leastMemory { std::numeric_limits<std::int64_t>::max() };
+        bool hasCapacity = false;
+    };
+    struct Learnt
+    {
+        CompletionRate rate;
+        /** Mean duration of recent runs in milliseconds. */
+        std::optional<double> meanMs;
+    };
+    /** How long work waits for one class of capacity. */
+    struct Wait
+    {
+        double ms = 0;
+        double preceding = 0;
+        double rate = 0;
+        CapacityClass capacity;
+    };
+    struct Prediction
+    {
+        double finishMs = 0;
+        /** The longest wait of any class. */
+        Wait longest;
+    };
+
+    [[nodiscard]] double countedMs(const CapacityClass &capacity, const QueueName &queue, Milliseconds estimate) const;
+    [[nodiscard]] Wait waitOf(const CapacityClass &capacity, const StepSpec &step, const JobUrgency &urgency,
+                              double jobWork, TimePoint now) const;
+    [[nodiscard]] Prediction predict(const JobSpec &spec, const QueueEntry &queue, const JobUrgency &urgency,
+                                     TimePoint now) const;
+    Milliseconds scheduleReturn(const JobSpec &spec, const QueueEntry &queue, const Wait &wait, double slackMs,
+                                TimePoint now);
+
+    TimePoint m_activeSince;
+    /** When the backlogs were taken. */
+    TimePoint m_leftAt {};
+    std::map<CapacityClass, Backlog> m_backlogs;
+    std::map<CapacityClass, Learnt> m_learnt;
+    /** Recent mean of the ratio of durations to estimates, at most 1, by queue. */
+    std::map<QueueName, double> m_ratios;
+    RefusedWork m_refused;
+};
+
+} // namespace currantring
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -54,7 +54,8 @@
     , m_interference(m_neighbours)
     , m_pacer(m_neighbours)
     , m_placer(m_fleet, m_interference, m_health)
-    , m_starter({ m_log, m_context, m_fleet, m_placer, m_health, m_queues },
+    , m_loadAdmission(context.now())
+    , m_starter({ m_log, m_context, m_fleet, m_placer, m_health, m_queues, m_loadAdmission },
                 [this](const WorkerId &worker, const LiveRun &run, std::string_view reason) {
                     handleRunLoss(worker, run, reason);
                 })
@@ -151,6 +152,17 @@
     }
 }
 
+LoadDecision RunController::admissionOf(const std::shared_ptr<const JobSpec> &spec)
+{
+    const QueueEntry *const queue = m_queues.find(spec->queue);
+    if (queue == nullptr || !m_loadAdmission.mayRefuse(*spec, m_context.now())) {
+        return {};
+    }
+    Job job(spec, m_context.wallNow());
+    job.beginOccurrence();
+    return m_loadAdmission.decide(*spec, *queue, urgencyOf(job, 0, *queue, m_context.wallNow()), m_context.now());
+}
+
 void RunController::openJob(const JobId &id)
 {
     const Job *const job = m_log.table().find(id);
@@ -291,12 +303,22 @@
     recordEnd(run, toRunEnd(end), checkpoint);
 }
 
+void RunController::recordDone(const LiveRun &run)
+{
+    const QueueEntry *const queue = m_queues.find(run.queue);
+    if (run.step && queue != nullptr) {
+        const TimePoint now = m_context.now();
+        m_loadAdmission.recordDone({ queue->service, run.isFiller() }, run.queue, *run.step, now - run.placedAt, now);
+    }
+}
+
 void RunController::updateHealth(const WorkerId &worker, const LiveRun &run, ReportedEnd end)
 {
     const TaskRef &task = run.ref.task;
     if (end == ReportedEnd::Done) {
         m_health.noteSuccess(worker);
         m_monitor.recordCompletion(run, m_context.now());
+        recordDone(run);
     } else if (end == ReportedEnd::Failed && m_health.noteFailure(worker, task, m_context.now())) {
         m_context.log(LogLevel::Warning, events::workerQuarantined,
                       { { "worker", worker.value() }, { "task", describe(task) } });
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -3,6 +3,7 @@
 #include "fillerpacer.h"
 #include "joblog.h"
 #include "knowledgestore.h"
+#include "loadadmission.h"
 #include "neighbourmodel.h"
 #include "queueregistry.h"
 #include "runmonitor.h"
@@ -54,6 +55,8 @@
 
     /** Restores the state from the log and starts polling the workers. */
     void begin();
+    /** Whether a submitted job may be accepted under the present load. The job must be new. */
+    LoadDecision admissionOf(const std::shared_ptr<const JobSpec> &spec);
     /** Makes the tasks of a newly accepted job eligible for placement. */
     void openJob(const JobId &job);
     /** Stops the remaining runs of a closed job. */
@@ -84,6 +87,7 @@
     void handleRunEnd(const WorkerId &worker, const LiveRun &run, ReportedEnd end, const CheckpointId &checkpoint);
     void handleRunLoss(const WorkerId &worker, const LiveRun &run, std::string_view reason);
     void handleRefusal(const WorkerId &worker, const LiveRun &run, WorkerFailure failure);
+    void recordDone(const LiveRun &run);
     void updateHealth(const WorkerId &worker, const LiveRun &run, ReportedEnd end);
     void recordEnd(const LiveRun &run, RunEnd end, const CheckpointId &checkpoint);
     void forgetIfSettled(const TaskRef &task);
@@ -114,6 +118,7 @@
     InterferenceTable m_interference;
     FillerPacer m_pacer;
     RunPlacer m_placer;
+    LoadAdmission m_loadAdmission;
     RunStarter m_starter;
     RunMonitor m_monitor;
     std::set<JobId> m_closing;
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t maxConstrainedTries = 8;
 /** Interval at which steps that have no worker to ask for are looked at again. */
 constexpr Milliseconds admissionRetryInterval { 100 };
+/** A step that has waited for longer lacks something that no end of other tasks provides. */
+constexpr Milliseconds maxCapacityWait { 30'000 };
 
 } // namespace
 
@@ -100,6 +102,64 @@
         placeStep(step);
     }
     askAdmission();
+    reportLeftWork();
+}
+
+/** Passes on what this pass left waiting, which the admission of further jobs under load depends on. */
+void RunStarter::reportLeftWork()
+{
+    if (m_parts.loadAdmission.needsLeftWork(m_ready.steps().size(), m_parts.context.now())) {
+        m_parts.loadAdmission.takeLeftWork(leftWork());
+    }
+}
+
+LeftWork RunStarter::leftWork() const
+{
+    LeftWork left { m_parts.context.now(), {}, {} };
+    for (const auto &[step, ready] : m_ready.steps()) {
+        const Job *const job = m_parts.log.table().find(step.job);
+        const QueueEntry *const queue = m_parts.queues.find(ready.queue);
+        if (job == nullptr || queue == nullptr || mayLackOtherThanProcessors(ready, *queue)) {
+            continue;
+        }
+        left.steps.push_back({ { queue->service, ready.step->isFiller },
+                               urgencyOfStep(step, ready, *job, *queue),
+                               ready.queue,
+                               remainingWork(*job, step.occurrence),
+                               ready.tasks.size(),
+                               ready.step->need,
+                               ready.step->estimate });
+    }
+    if (!left.steps.empty()) {
+        left.capacity = capacityOfServices();
+    }
+    return left;
+}
+
+/** Whether the step may wait for something that other jobs needn't wait for. */
+bool RunStarter::mayLackOtherThanProcessors(const ReadyStep &ready, const QueueEntry &queue) const
+{
+    const StepSpec &step = *ready.step;
+    const Milliseconds waited = m_parts.context.now() - ready.since;
+    const bool prefersRack = !step.dataRack.value().empty() || step.wantsOneRack;
+    return step.isLasting || step.isGang || queue.admission || !step.requiredLabel.value().empty()
+        || step.need.accelerators.value() > 0 || step.spreadLimit > 0 || (prefersRack && waited < maxRackWait)
+        || waited > maxCapacityWait;
+}
+
+std::map<ServiceName, ServiceCapacity> RunStarter::capacityOfServices() const
+{
+    std::map<ServiceName, ServiceCapacity> services;
+    for (const auto &[id, link] : m_parts.fleet.links()) {
+        if (m_parts.fleet.isSchedulable(*link)) {
+            ServiceCapacity &service = services[link->entry().service];
+            const ReservedResources &reserved = link->reservedResources();
+            service.total = Millicores(service.total.value() + link->entry().capacity.processors.value());
+            service.counted = Millicores(service.counted.value() + reserved.held().processors.value());
+            service.bestEffort = Millicores(service.bestEffort.value() + reserved.fillerDemand().value());
+        }
+    }
+    return services;
 }
 
 /** The steps that may be placed, or that tickets may be requested for now, in order of urgency. */
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -3,6 +3,7 @@
 #include "admissionclient.h"
 #include "joblog.h"
 #include "joburgency.h"
+#include "loadadmission.h"
 #include "noroomcache.h"
 #include "queueregistry.h"
 #include "readysteps.h"
@@ -32,6 +33,7 @@
         const RunPlacer &placer;
         const WorkerHealth &health;
         const QueueRegistry &queues;
+        LoadAdmission &loadAdmission;
     };
     /** Called when a placed run is dropped before its start was sent. */
     using LossHandler = std::function<void(const WorkerId &worker, const LiveRun &run, std::string_view reason)>;
@@ -69,6 +71,10 @@
     };
 
     void pass();
+    void reportLeftWork();
+    [[nodiscard]] LeftWork leftWork() const;
+    [[nodiscard]] bool mayLackOtherThanProcessors(const ReadyStep &ready, const QueueEntry &queue) const;
+    [[nodiscard]] std::map<ServiceName, ServiceCapacity> capacityOfServices() const;
     [[nodiscard]] std::vector<StepRef> stepsByUrgency() const;
     void placeStep(const StepRef &step);
     void placeTasks(const StepRef &step, const ReadyStep &ready);
