--- a/src/libjobs/loadadmission.cpp
+++ b/src/libjobs/loadadmission.cpp
@@ -13,8 +13,12 @@
 constexpr Milliseconds minEstimate { 50 };
 /** A task isn't counted as longer than this multiple of the recent mean, as its estimate may be days. */
 constexpr double maxMeanDurations = 4;
+/** In units of the recent mean: how long tasks that have just started may run. */
+constexpr double maxRunDurations = 2;
 /** Estimates that are too high are corrected by at most this factor. */
 constexpr double minRatio = 0.05;
+/** A larger ratio of a duration to its estimate counts as this. */
+constexpr double maxRatio = 20;
 /** Weight of one run in the learnt means. */
 constexpr double runWeight = 0.05;
 /** A writer that hasn't been active for this long knows too little to refuse. */
@@ -28,6 +32,8 @@
 /** A shorter wait than the shortest retry time never leads to a refusal, which would cost the caller more. */
 constexpr double minRetryMs = 1000;
 constexpr double maxRetryMs = 60'000;
+/** Work is taken to drain at this fraction of the rate at least, as a burst ends. */
+constexpr double minDrainFraction = 0.15;
 /** The returns of callers are spread over this fraction of the retry time, and at least over minRetryMs. */
 constexpr double spreadFraction = 0.25;
 /** Keeps sums of estimates of years representable. */
@@ -113,10 +119,17 @@
         Backlog &backlog = backlogs[step.capacity];
         const auto processors = static_cast<double>(step.need.processors.value());
         const double work = countedMs(step.capacity, step.queue, step.estimate) * processors;
-        backlog.work.add(step.urgency, step.jobWork, work * static_cast<double>(step.tasks));
+        const double all = work * static_cast<double>(step.tasks);
+        backlog.work.add(step.urgency, step.jobWork,
+                         step.isOpen ? WaitingWork::Amount { all, 0 } : WaitingWork::Amount { 0, all });
+        if (!step.isOpen) {
+            continue;
+        }
+        backlog.hasOpenTasks = true;
         backlog.leastProcessors = std::min(backlog.leastProcessors, step.need.processors);
         backlog.leastMemory = std::min(backlog.leastMemory, step.need.memory);
     }
+    std::erase_if(backlogs, [](const auto &entry) { return !entry.second.hasOpenTasks; });
     for (auto &[capacity, backlog] : backlogs) {
         backlog.work.sum();
         const auto before = m_backlogs.find(capacity);
@@ -135,27 +148,53 @@
                                Milliseconds took, TimePoint now)
 {
     const auto tookMs = static_cast<double>(std::max(took, Milliseconds(1)).count());
-    const double ratio = std::min(tookMs / flooredMs(step.estimate), 1.0);
-    learn(m_ratios.try_emplace(queue, ratio).first->second, ratio);
+    const double ratio = std::min(tookMs / flooredMs(step.estimate), maxRatio);
+    const Ratio sample { std::min(ratio, 1.0), ratio };
+    Ratio &mean = m_ratios.try_emplace(queue, sample).first->second;
+    learn(mean.lowering, sample.lowering);
+    learn(mean.full, sample.full);
     Learnt &learnt = m_learnt[capacity];
     if (!learnt.meanMs) {
         learnt.meanMs = tookMs;
     }
     learn(*learnt.meanMs, tookMs);
     const auto processors = static_cast<double>(step.need.processors.value());
-    learnt.rate.record(countedMs(capacity, queue, step.estimate) * processors, now);
+    learnt.completed.record(countedMs(capacity, queue, step.estimate) * processors, now);
 }
 
 /** Duration at which a task is counted, both while it waits and in the rate. */
 double LoadAdmission::countedMs(const CapacityClass &capacity, const QueueName &queue, Milliseconds estimate) const
 {
     const auto ratio = m_ratios.find(queue);
-    const double corrected = flooredMs(estimate) * (ratio == m_ratios.end() ? 1 : std::max(ratio->second, minRatio));
+    const double corrected =
+        flooredMs(estimate) * (ratio == m_ratios.end() ? 1 : std::max(ratio->second.lowering, minRatio));
     const auto learnt = m_learnt.find(capacity);
     const bool hasMean = learnt != m_learnt.end() && learnt->second.meanMs;
     return hasMean ? std::min(corrected, *learnt->second.meanMs * maxMeanDurations) : corrected;
 }
 
+double LoadAdmission::countedWork(const JobSpec &spec, const QueueEntry &queue, const CapacityClass &capacity) const
+{
+    double work = 0;
+    for (const StepSpec &step : spec.steps) {
+        if (classOf(step, queue) == capacity && !step.isLasting) {
+            work += countedMs(capacity, queue.name, step.estimate) * static_cast<double>(step.need.processors.value())
+                * static_cast<double>(step.count);
+        }
+    }
+    return work;
+}
+
+void LoadAdmission::recordAccepted(const JobSpec &spec, const QueueEntry &queue, TimePoint now)
+{
+    for (const bool isBestEffort : { false, true }) {
+        const CapacityClass capacity { queue.service, isBestEffort };
+        if (const double work = countedWork(spec, queue, capacity); work > 0) {
+            m_learnt[capacity].accepted.record(work, now);
+        }
+    }
+}
+
 bool LoadAdmission::mayRefuse(const JobSpec &spec, TimePoint now) const
 {
     return !m_backlogs.empty() && now - m_leftAt <= maxSumAge && now - m_activeSince >= minActive && !spec.schedule
@@ -173,12 +212,19 @@
     const Backlog &backlog = found->second;
     // A task that needs less than each one that waits may fit where they don't.
     const bool mayFit = step.need.processors < backlog.leastProcessors || step.need.memory < backlog.leastMemory;
-    const std::optional<double> rate = learnt->second.rate.rate(now);
+    const std::optional<double> rate = learnt->second.completed.highest(now);
     if (mayFit || !backlog.hasCapacity || now - backlog.since < minBacklogTime || !rate) {
         return {};
     }
-    const double preceding = backlog.work.preceding(urgency, jobWork);
-    return { preceding / *rate, preceding, *rate, capacity };
+    const WaitingWork::Amount preceding = backlog.work.preceding(urgency, jobWork);
+    const double openMs = preceding.open / *rate;
+    if (openMs <= 0) {
+        return {};
+    }
+    // When the last open task starts, the later steps of those that run then can't precede the job.
+    const double runningShare = std::min(*learnt->second.meanMs * maxRunDurations / openMs, 1.0);
+    const double laterMs = preceding.later / *rate * (1 - runningShare);
+    return { openMs + laterMs, preceding.open + preceding.later, *rate, learnt->second.accepted.mean(now), capacity };
 }
 
 LoadAdmission::Prediction LoadAdmission::predict(const JobSpec &spec, const QueueEntry &queue,
@@ -223,23 +269,21 @@
 
 /**
  * When the work before the job, and that of the jobs refused before it, has drained so far that the job can be on time,
- * counted from its return.
+ * counted from its return. Unlike the prediction it isn't optimistic: it expects further arrivals at the recent rate.
  */
 Milliseconds LoadAdmission::scheduleReturn(const JobSpec &spec, const QueueEntry &queue, const Wait &wait,
                                            double slackMs, TimePoint now)
 {
     const double expected = m_refused.expected(wait.capacity, queue.priority);
-    const double drainedMs = std::clamp(wait.ms + expected / wait.rate - slackMs, minRetryMs, maxRetryMs);
+    const double drainRate = std::max(wait.rate - wait.arrivalRate, wait.rate * minDrainFraction);
+    const double drainedMs = std::clamp((wait.preceding + expected) / drainRate - slackMs, minRetryMs, maxRetryMs);
     const auto window = static_cast<std::uint64_t>(std::max(drainedMs * spreadFraction, minRetryMs));
     const auto spread = static_cast<std::int64_t>(stableHash(spec.id.value()) % window);
     const Milliseconds retryAfter = toMilliseconds(drainedMs) + Milliseconds(spread);
-    double work = 0;
-    for (const StepSpec &step : spec.steps) {
-        if (classOf(step, queue) == wait.capacity) {
-            work += countedMs(wait.capacity, queue.name, step.estimate)
-                * static_cast<double>(step.need.processors.value()) * static_cast<double>(step.count);
-        }
-    }
+    const auto ratio = m_ratios.find(queue.name);
+    const double underestimate =
+        ratio == m_ratios.end() ? 1 : std::max(ratio->second.full / std::max(ratio->second.lowering, minRatio), 1.0);
+    const double work = countedWork(spec, queue, wait.capacity) * underestimate;
     m_refused.note(spec.id, wait.capacity, queue.priority, work, now + retryAfter);
     return retryAfter;
 }
--- a/src/libjobs/loadadmission.h
+++ b/src/libjobs/loadadmission.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "completionrate.h"
 #include "jobspec.h"
 #include "refusedwork.h"
 #include "siteconfiguration.h"
 #include "waitingwork.h"
+#include "workrate.h"
 
 #include <limits>
 #include <map>
@@ -14,9 +14,11 @@
 
 namespace currantring {
 
-/** The tasks of one step that a placement pass left without a worker. */
+/** The tasks of one step that a placement pass left without a worker, or of a later step of the same job. */
 struct WaitingStep
 {
+    /** Whether the tasks could start now; those of a later step depend on tasks that wait. */
+    bool isOpen = true;
     CapacityClass capacity;
     JobUrgency urgency;
     QueueName queue;
@@ -64,7 +66,7 @@
  *
  * It handles bursts of submissions beyond the capacity that last longer than jobs can wait, and a lower priority behind
  * a backlog of higher ones. Accepting such jobs gives their callers nothing and takes processors from others. The
- * prediction is optimistic: the highest recent rate, no further arrivals, and only the tasks that could start now. All
+ * prediction is optimistic: the highest recent rate, no further arrivals, and nothing that only runs or isn't sure. All
  * work is counted at the recent ratio of durations to estimates where estimates are too high, so that a common error
  * of the estimates cancels out between the waiting work and the rate. Thread safety: one thread at a time.
  */
@@ -81,6 +83,8 @@
     /** Records a task that ended with its work done after @p took. */
     void recordDone(const CapacityClass &capacity, const QueueName &queue, const StepSpec &step, Milliseconds took,
                     TimePoint now);
+    /** Records the work of a job that is accepted. */
+    void recordAccepted(const JobSpec &spec, const QueueEntry &queue, TimePoint now);
     /** Whether decide() may refuse @p spec; when it may not, the job is accepted. */
     [[nodiscard]] bool mayRefuse(const JobSpec &spec, TimePoint now) const;
     /** @p urgency: that of the job if it is accepted at @p now. Precondition: mayRefuse(). */
@@ -96,20 +100,32 @@
         /** The least that any waiting task needs. */
         Millicores leastProcessors { std::numeric_limits<std::int64_t>::max() };
         Mebibytes leastMemory { std::numeric_limits<std::int64_t>::max() };
+        bool hasOpenTasks = false;
         bool hasCapacity = false;
     };
     struct Learnt
     {
-        CompletionRate rate;
+        WorkRate completed;
+        WorkRate accepted;
         /** Mean duration of recent runs in milliseconds. */
         std::optional<double> meanMs;
     };
+    /** Recent means of the ratio of durations to estimates, of the runs of one queue. */
+    struct Ratio
+    {
+        /** With ratios above 1 taken as 1: corrects estimates that are too high, and only these. */
+        double lowering = 1;
+        /** With ratios bounded by maxRatio. */
+        double full = 1;
+    };
     /** How long work waits for one class of capacity. */
     struct Wait
     {
         double ms = 0;
         double preceding = 0;
         double rate = 0;
+        /** Mean rate at which work was accepted lately. */
+        double arrivalRate = 0;
         CapacityClass capacity;
     };
     struct Prediction
@@ -119,6 +135,7 @@
         Wait longest;
     };
 
+    [[nodiscard]] double countedWork(const JobSpec &spec, const QueueEntry &queue, const CapacityClass &capacity) const;
     [[nodiscard]] double countedMs(const CapacityClass &capacity, const QueueName &queue, Milliseconds estimate) const;
     [[nodiscard]] Wait waitOf(const CapacityClass &capacity, const StepSpec &step, const JobUrgency &urgency,
                               double jobWork, TimePoint now) const;
@@ -132,8 +149,7 @@
     TimePoint m_leftAt {};
     std::map<CapacityClass, Backlog> m_backlogs;
     std::map<CapacityClass, Learnt> m_learnt;
-    /** Recent mean of the ratio of durations to estimates, at most 1, by queue. */
-    std::map<QueueName, double> m_ratios;
+    std::map<QueueName, Ratio> m_ratios;
     RefusedWork m_refused;
 };
 
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -155,12 +155,20 @@
 LoadDecision RunController::admissionOf(const std::shared_ptr<const JobSpec> &spec)
 {
     const QueueEntry *const queue = m_queues.find(spec->queue);
-    if (queue == nullptr || !m_loadAdmission.mayRefuse(*spec, m_context.now())) {
+    if (queue == nullptr) {
         return {};
     }
-    Job job(spec, m_context.wallNow());
-    job.beginOccurrence();
-    return m_loadAdmission.decide(*spec, *queue, urgencyOf(job, 0, *queue, m_context.wallNow()), m_context.now());
+    const TimePoint now = m_context.now();
+    LoadDecision decision;
+    if (m_loadAdmission.mayRefuse(*spec, now)) {
+        Job job(spec, m_context.wallNow());
+        job.beginOccurrence();
+        decision = m_loadAdmission.decide(*spec, *queue, urgencyOf(job, 0, *queue, m_context.wallNow()), now);
+    }
+    if (decision.isAccepted) {
+        m_loadAdmission.recordAccepted(*spec, *queue, now);
+    }
+    return decision;
 }
 
 void RunController::openJob(const JobId &id)
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -116,19 +116,28 @@
 LeftWork RunStarter::leftWork() const
 {
     LeftWork left { m_parts.context.now(), {}, {} };
+    const StepRef *previous = nullptr;
     for (const auto &[step, ready] : m_ready.steps()) {
         const Job *const job = m_parts.log.table().find(step.job);
         const QueueEntry *const queue = m_parts.queues.find(ready.queue);
         if (job == nullptr || queue == nullptr || mayLackOtherThanProcessors(ready, *queue)) {
             continue;
         }
-        left.steps.push_back({ { queue->service, ready.step->isFiller },
-                               urgencyOfStep(step, ready, *job, *queue),
-                               ready.queue,
-                               remainingWork(*job, step.occurrence),
-                               ready.tasks.size(),
-                               ready.step->need,
-                               ready.step->estimate });
+        const bool isFirstOfJob =
+            previous == nullptr || previous->job != step.job || previous->occurrence != step.occurrence;
+        previous = &step;
+        const WaitingStep waiting { true,
+                                    { queue->service, ready.step->isFiller },
+                                    urgencyOfStep(step, ready, *job, *queue),
+                                    ready.queue,
+                                    remainingWork(*job, step.occurrence),
+                                    ready.tasks.size(),
+                                    ready.step->need,
+                                    ready.step->estimate };
+        left.steps.push_back(waiting);
+        if (isFirstOfJob) {
+            addLaterSteps(*job, step.occurrence, waiting, left);
+        }
     }
     if (!left.steps.empty()) {
         left.capacity = capacityOfServices();
@@ -136,6 +145,22 @@
     return left;
 }
 
+/** Adds the steps of the job that aren't open yet; @p like: one of its steps that is. */
+void RunStarter::addLaterSteps(const Job &job, std::uint32_t occurrence, WaitingStep like, LeftWork &left)
+{
+    like.isOpen = false;
+    for (std::uint32_t index = 0; index < job.spec->steps.size(); ++index) {
+        const StepSpec &step = job.spec->steps[index];
+        if (!job.isStepOpen(occurrence, index) && !step.isLasting) {
+            like.capacity.isBestEffort = step.isFiller;
+            like.tasks = step.count;
+            like.need = step.need;
+            like.estimate = step.estimate;
+            left.steps.push_back(like);
+        }
+    }
+}
+
 /** Whether the step may wait for something that other jobs needn't wait for. */
 bool RunStarter::mayLackOtherThanProcessors(const ReadyStep &ready, const QueueEntry &queue) const
 {
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -73,6 +73,7 @@
     void pass();
     void reportLeftWork();
     [[nodiscard]] LeftWork leftWork() const;
+    static void addLaterSteps(const Job &job, std::uint32_t occurrence, WaitingStep like, LeftWork &left);
     [[nodiscard]] bool mayLackOtherThanProcessors(const ReadyStep &ready, const QueueEntry &queue) const;
     [[nodiscard]] std::map<ServiceName, ServiceCapacity> capacityOfServices() const;
     [[nodiscard]] std::vector<StepRef> stepsByUrgency() const;
--- a/src/libjobs/waitingwork.cpp
+++ b/src/libjobs/waitingwork.cpp
@@ -5,7 +5,7 @@
 
 namespace currantring {
 
-void WaitingWork::add(const JobUrgency &urgency, double jobWork, double work)
+void WaitingWork::add(const JobUrgency &urgency, double jobWork, const Amount &work)
 {
     m_entries.push_back({ urgency.priority, urgency.deadlineState, jobWork, work });
 }
@@ -13,23 +13,19 @@
 void WaitingWork::sum()
 {
     std::ranges::sort(m_entries, {}, &Entry::rank);
-    double sum = 0;
+    Amount sum;
     for (Entry &entry : m_entries) {
-        sum += entry.work;
+        sum.open += entry.work.open;
+        sum.later += entry.work.later;
         entry.work = sum;
     }
 }
 
-double WaitingWork::preceding(const JobUrgency &urgency, double jobWork) const
+WaitingWork::Amount WaitingWork::preceding(const JobUrgency &urgency, double jobWork) const
 {
-    const Entry job { urgency.priority, urgency.deadlineState, jobWork, 0 };
+    const Entry job { urgency.priority, urgency.deadlineState, jobWork, {} };
     const auto after = std::ranges::upper_bound(m_entries, job.rank(), {}, &Entry::rank);
-    return after == m_entries.begin() ? 0 : std::prev(after)->work;
-}
-
-double WaitingWork::total() const
-{
-    return m_entries.empty() ? 0 : m_entries.back().work;
+    return after == m_entries.begin() ? Amount {} : std::prev(after)->work;
 }
 
 } // namespace currantring
--- a/src/libjobs/waitingwork.h
+++ b/src/libjobs/waitingwork.h
@@ -17,13 +17,20 @@
 class WaitingWork
 {
 public:
+    struct Amount
+    {
+        /** Work of tasks that could start now. */
+        double open = 0;
+        /** Work of later steps of the same jobs. */
+        double later = 0;
+    };
+
     /** @p jobWork: remaining work of the job that the waiting tasks belong to; @p work: that of the tasks. */
-    void add(const JobUrgency &urgency, double jobWork, double work);
+    void add(const JobUrgency &urgency, double jobWork, const Amount &work);
     /** Computes the sums; to be called after the last add(). */
     void sum();
     /** The waiting work that precedes a job with this urgency and remaining work, or is equal to it in the order. */
-    [[nodiscard]] double preceding(const JobUrgency &urgency, double jobWork) const;
-    [[nodiscard]] double total() const;
+    [[nodiscard]] Amount preceding(const JobUrgency &urgency, double jobWork) const;
 
 private:
     struct Entry
@@ -32,7 +39,7 @@
         DeadlineState deadlineState = DeadlineState::OnTime;
         double jobWork = 0;
         /** Before sum(): the work of the entry; after it: that of all entries up to this one. */
-        double work = 0;
+        Amount work;
 
         [[nodiscard]] auto rank() const
         {
--- a/src/libjobs/completionrate.cpp
+++ b/src/libjobs/workrate.cpp
@@ -1,4 +1,4 @@
-#include "completionrate.h"
+#include "workrate.h"
 
 #include <algorithm>
 
@@ -10,8 +10,8 @@
 /** Slots whose mean is taken: workers report ends in groups, which a shorter time would mistake for a high rate. */
 constexpr std::int64_t slotsInMean = 4;
 constexpr std::int64_t slotsKept = 12;
-/** Fewer tasks than these in all kept slots give no rate. */
-constexpr std::size_t minTasks = 8;
+/** Fewer records than these in all kept slots give no rate. */
+constexpr std::size_t minRecords = 8;
 
 std::int64_t slotOf(TimePoint time)
 {
@@ -20,25 +20,25 @@
 
 } // namespace
 
-void CompletionRate::record(double work, TimePoint now)
+void WorkRate::record(double work, TimePoint now)
 {
     const std::int64_t number = slotOf(now);
     if (m_slots.empty() || m_slots.back().number < number) {
         m_slots.push_back({ number, 0, 0 });
     }
     m_slots.back().work += work;
-    ++m_slots.back().tasks;
+    ++m_slots.back().records;
     while (m_slots.front().number <= number - slotsKept) {
         m_slots.pop_front();
     }
 }
 
-std::optional<double> CompletionRate::rate(TimePoint now) const
+std::optional<double> WorkRate::highest(TimePoint now) const
 {
     const std::int64_t oldest = slotOf(now) - slotsKept;
     double highest = 0;
     double sum = 0;
-    std::size_t tasks = 0;
+    std::size_t records = 0;
     auto first = m_slots.begin();
     for (auto last = m_slots.begin(); last != m_slots.end(); ++last) {
         sum += last->work;
@@ -47,13 +47,23 @@
         }
         if (last->number > oldest) {
             highest = std::max(highest, sum);
-            tasks += last->tasks;
+            records += last->records;
         }
     }
-    if (tasks < minTasks || highest <= 0) {
+    if (records < minRecords || highest <= 0) {
         return std::nullopt;
     }
     return highest / static_cast<double>(slotMs * slotsInMean);
 }
 
+double WorkRate::mean(TimePoint now) const
+{
+    const std::int64_t oldest = slotOf(now) - slotsKept;
+    double sum = 0;
+    for (const Slot &slot : m_slots) {
+        sum += slot.number > oldest ? slot.work : 0;
+    }
+    return sum / static_cast<double>(slotMs * slotsKept);
+}
+
 } // namespace currantring
