--- a/src/libjobs/loadadmission.cpp
+++ b/src/libjobs/loadadmission.cpp
@@ -25,8 +25,10 @@
 constexpr Milliseconds minActive { 3000 };
 /** Work has to be left waiting for this long: the rate is that of full workers only then. */
 constexpr Milliseconds minBacklogTime { 2000 };
-/** Interval at which the waiting work is summed up, which bounds the cost. */
-constexpr Milliseconds sumInterval { 100 };
+/** Bounds of the interval at which the waiting work is summed up, and steps summed up in each millisecond of it. */
+constexpr Milliseconds minSumInterval { 100 };
+constexpr Milliseconds maxSumInterval { 500 };
+constexpr std::size_t stepsPerMillisecond = 10;
 /** Sums older than this aren't used: the writer is late with its passes. */
 constexpr Milliseconds maxSumAge { 1000 };
 /** A shorter wait than the shortest retry time never leads to a refusal, which would cost the caller more. */
@@ -109,7 +111,8 @@
 
 bool LoadAdmission::needsLeftWork(std::size_t steps, TimePoint now) const
 {
-    return steps == 0 ? !m_backlogs.empty() : now - m_leftAt >= sumInterval;
+    const Milliseconds interval(static_cast<std::int64_t>(steps / stepsPerMillisecond));
+    return steps == 0 ? !m_backlogs.empty() : now - m_leftAt >= std::clamp(interval, minSumInterval, maxSumInterval);
 }
 
 void LoadAdmission::takeLeftWork(const LeftWork &left)
--- a/src/libjobs/loadadmission.h
+++ b/src/libjobs/loadadmission.h
@@ -76,7 +76,10 @@
     /** @p activeSince: when the writer became active; jobs are refused only some time after that. */
     explicit LoadAdmission(TimePoint activeSince);
 
-    /** Whether takeLeftWork() is due after a pass that left @p steps steps waiting. */
+    /**
+     * Whether takeLeftWork() is due after a pass that left @p steps steps waiting; less often with many steps, so that
+     * its cost is bounded.
+     */
     [[nodiscard]] bool needsLeftWork(std::size_t steps, TimePoint now) const;
     /** Takes what the last placement pass left waiting. */
     void takeLeftWork(const LeftWork &left);
