--- a/src/libjobs/loadadmission.h
+++ b/src/libjobs/loadadmission.h
@@ -66,9 +66,10 @@
  *
  * It handles bursts of submissions beyond the capacity that last longer than jobs can wait, and a lower priority behind
  * a backlog of higher ones. Accepting such jobs gives their callers nothing and takes processors from others. The
- * prediction is optimistic: the highest recent rate, no further arrivals, and nothing that only runs or isn't sure. All
- * work is counted at the recent ratio of durations to estimates where estimates are too high, so that a common error
- * of the estimates cancels out between the waiting work and the rate. Thread safety: one thread at a time.
+ * prediction is optimistic: the highest recent rate, no further arrivals, no time for the work that is running. Work
+ * is counted in the same units while it waits and when it is done, with estimates that are too high lowered by the
+ * recent ratio of durations to estimates, so that a common error of the estimates cancels out. Thread safety: one
+ * thread at a time.
  */
 class LoadAdmission
 {
