Run best-effort tasks throttled that no worker takes while most of the service is unused

Change: after 2 s, and while other tasks reserve at most half of the service's processors, such a filler is placed where the least throttling is needed.

--- a/src/libjobs/fillercost.cpp
+++ b/src/libjobs/fillercost.cpp
@@ -15,23 +15,26 @@
  * second uses it up in the 0.6 s until a pace order shows in the reports.
  */
 constexpr double stressMargin = 0.1;
-/** Cost weight of the coefficient of an image pair. */
+/** Cost weights of the coefficient of an image pair, and of the stress that throttling has to make up for. */
 constexpr double coefficientWeight = 1.5;
+constexpr double excessWeight = 10;
 
 } // namespace
 
-FillerCost::FillerCost(double contention, bool isFirst)
+FillerCost::FillerCost(double contention, bool isFirst, FillerThrottling throttling)
     : m_contention(contention)
+    , m_throttling(throttling)
     , m_isClosed(contention > maxContention && !isFirst)
 {
 }
 
 void FillerCost::add(const FillerImpact &impact)
 {
-    const bool exceedsNow = impact.stressOverLimit + impact.addedStress > -stressMargin;
-    const bool exceedsAtPeak = impact.peakOverLimit + impact.addedStress > 0;
-    m_isClosed = m_isClosed || exceedsNow || exceedsAtPeak;
-    m_interference = std::max(m_interference, impact.coefficient * coefficientWeight);
+    const double excessNow = impact.stressOverLimit + impact.addedStress + stressMargin;
+    const double excessAtPeak = impact.peakOverLimit + impact.addedStress;
+    const double excess = std::max({ excessNow, excessAtPeak, 0.0 });
+    m_isClosed = m_isClosed || (excess > 0 && m_throttling == FillerThrottling::Avoided);
+    m_interference = std::max(m_interference, excess * excessWeight + impact.coefficient * coefficientWeight);
 }
 
 std::optional<double> FillerCost::total() const
--- a/src/libjobs/fillercost.h
+++ b/src/libjobs/fillercost.h
@@ -17,6 +17,9 @@
     double addedStress = 0;
 };
 
+/** Whether a filler may be placed where serving tasks may have it throttled. */
+enum class FillerThrottling { Avoided, Accepted };
+
 /**
  * Decides whether a worker may get a filler, and at what cost.
  *
@@ -35,7 +38,7 @@
      * them.
      * @p isFirst: whether it would be the worker's only filler, which is placed however large it is.
      */
-    FillerCost(double contention, bool isFirst);
+    FillerCost(double contention, bool isFirst, FillerThrottling throttling);
 
     /** Adds the impact on the serving tasks of one image. */
     void add(const FillerImpact &impact);
@@ -45,6 +48,7 @@
 private:
     double m_contention;
     double m_interference = 0;
+    FillerThrottling m_throttling;
     bool m_isClosed;
 };
 
--- a/src/libjobs/noroomcache.cpp
+++ b/src/libjobs/noroomcache.cpp
@@ -14,8 +14,8 @@
     const bool isUnconstrained = request.hasOnlyStepConstraints() && !request.isRackNeeded
         && request.step.requiredLabel.value().empty() && request.step.spreadLimit == 0;
     if (isUnconstrained && !isKnownNotToFit(request)) {
-        m_kinds.push_back(
-            { request.service, request.step.isFiller, request.step.isLasting, request.step.image, request.step.need });
+        m_kinds.push_back({ request.service, request.step.isFiller, request.step.isLasting, request.step.image,
+                            request.step.need, request.throttling });
     }
 }
 
@@ -23,8 +23,9 @@
 {
     const StepSpec &step = request.step;
     return std::ranges::any_of(m_kinds, [&request, &step](const Kind &kind) {
-        // More workers are open to lasting tasks than to others.
-        const bool coversWorkers = kind.isLasting || !step.isLasting;
+        // More workers are open to lasting tasks than to others, and to fillers that may be throttled.
+        const bool coversWorkers = (kind.isLasting || !step.isLasting)
+            && (kind.throttling == FillerThrottling::Accepted || request.throttling == FillerThrottling::Avoided);
         // Only fillers are excluded from a worker by interference with serving tasks, which depends on the image.
         return coversWorkers && kind.isFiller == step.isFiller && (!kind.isFiller || kind.image == step.image)
             && step.need.covers(kind.need) && kind.service == request.service;
--- a/src/libjobs/noroomcache.h
+++ b/src/libjobs/noroomcache.h
@@ -29,6 +29,7 @@
         bool isLasting = false;
         ImageName image;
         Resources need;
+        FillerThrottling throttling = FillerThrottling::Avoided;
     };
 
     std::vector<Kind> m_kinds;
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -1,7 +1,5 @@
 #include "runplacer.h"
 
-#include "fillercost.h"
-
 #include <algorithm>
 #include <tuple>
 
@@ -145,6 +143,19 @@
     return racks;
 }
 
+bool RunPlacer::isMostlyUnused(const ServiceName &service) const
+{
+    std::int64_t capacity = 0;
+    std::int64_t held = 0;
+    for (const auto &[id, link] : m_fleet.links()) {
+        if (link->entry().service == service && m_fleet.isSchedulable(*link)) {
+            capacity += link->entry().capacity.processors.value();
+            held += link->reservedResources().held().processors.value();
+        }
+    }
+    return held * 2 <= capacity;
+}
+
 std::optional<double> RunPlacer::totalCost(const WorkerLink &link, const PlacementRequest &request, TimePoint now) const
 {
     if (!isEligible(link, request)) {
@@ -236,7 +247,7 @@
 std::optional<double> RunPlacer::fillerCost(const WorkerLink &link, const PlacementRequest &request) const
 {
     const bool isFirst = link.reservedResources().fillerDemand().value() == 0;
-    FillerCost cost(contentionWith(request.step, link), isFirst);
+    FillerCost cost(contentionWith(request.step, link), isFirst, request.throttling);
     const double fraction = fractionOf(request.step.need.processors, link);
     for (const WorkerInterference::Servers &servers : m_interference.of(link).servers) {
         const double coefficient = m_interference.coefficient(request.step.image, servers);
--- a/src/libjobs/runplacer.h
+++ b/src/libjobs/runplacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fillercost.h"
 #include "interferencetable.h"
 #include "workerfleet.h"
 #include "workerhealth.h"
@@ -28,6 +29,8 @@
     bool isRackNeeded = false;
     /** If set, returns whether the task is admitted to a worker. */
     std::function<bool(const WorkerLink &worker)> isAdmitted;
+    /** For fillers. */
+    FillerThrottling throttling = FillerThrottling::Avoided;
 
     /** Whether some workers are closed to this task that may be open to others of its step. */
     [[nodiscard]] bool hasTaskConstraints() const
@@ -67,6 +70,8 @@
                                              std::size_t maxCount);
     /** The racks with workers for @p service, in order of falling free processors. */
     [[nodiscard]] std::vector<Label> racks(const ServiceName &service) const;
+    /** Whether tasks other than fillers reserve at most half of the processors of the workers for @p service. */
+    [[nodiscard]] bool isMostlyUnused(const ServiceName &service) const;
     /** Whether the best worker isn't @p present, isn't closed by its health and has a load cost below @p maxCost. */
     [[nodiscard]] bool hasOther(const PlacementRequest &request, const WorkerLink &present, double maxCost,
                                 TimePoint now) const;
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t maxAdmissionTries = 8;
 /** Tasks with constraints of their own for which one pass looks for a worker in vain, in each step. */
 constexpr std::size_t maxConstrainedTries = 8;
+/** Fillers that no worker has taken for this time, though most of the service is unused, may be placed to be throttled.
+ */
+constexpr Milliseconds unthrottledWait { 2000 };
 /** Interval at which steps that have no worker to ask for are looked at again. */
 constexpr Milliseconds admissionRetryInterval { 100 };
 
@@ -94,6 +97,7 @@
     }
     m_lastPass = m_parts.context.now();
     m_noRoom.clear();
+    m_isMostlyUnused.clear();
     placeAnswered();
     m_waitingForTickets.clear();
     for (const StepRef &step : stepsByUrgency()) {
@@ -211,6 +215,22 @@
     return demand;
 }
 
+/**
+ * Fillers whose image disturbs the serving tasks of all workers would wait for as long as those run. While most of the
+ * service is unused they run throttled instead.
+ */
+FillerThrottling RunStarter::throttlingOf(const ReadyStep &ready, const ServiceName &service)
+{
+    if (!ready.step->isFiller || m_parts.context.now() - ready.since < unthrottledWait) {
+        return FillerThrottling::Avoided;
+    }
+    const auto [place, isNew] = m_isMostlyUnused.try_emplace(service);
+    if (isNew) {
+        place->second = m_parts.placer.isMostlyUnused(service);
+    }
+    return place->second ? FillerThrottling::Accepted : FillerThrottling::Avoided;
+}
+
 bool RunStarter::mayWaitForRack(const ReadyStep &ready) const
 {
     return m_parts.context.now() - ready.since < std::clamp(ready.step->estimate, minRackWait, maxRackWait);
@@ -318,6 +338,7 @@
         waitForTickets(step, *queue);
         return;
     }
+    const FillerThrottling throttling = throttlingOf(ready, queue->service);
     std::optional<WorkerCostTable> costs;
     std::size_t unplaced = 0;
     for (const std::uint32_t index : ready.tasks) {
@@ -329,6 +350,7 @@
         requireTicket(step, *queue, *request);
         request->rack = rackOf(step, *ready.step);
         request->isRackNeeded = isWaitingForRack(ready, request->rack);
+        request->throttling = throttling;
         WorkerLink *const link = choose(*request, costs);
         if (link == nullptr) {
             ++unplaced;
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -82,6 +82,7 @@
     void placeAnswered();
     void askAdmission();
     [[nodiscard]] std::optional<AdmissionDemand> admissionDemand(const StepRef &step, const ReadyStep &ready) const;
+    [[nodiscard]] FillerThrottling throttlingOf(const ReadyStep &ready, const ServiceName &service);
     [[nodiscard]] bool mayWaitForRack(const ReadyStep &ready) const;
     [[nodiscard]] bool isWaitingForRack(const ReadyStep &ready, const Label &rack) const;
     [[nodiscard]] std::size_t waitingTasksOf(const StepRef &step) const;
@@ -105,6 +106,7 @@
     bool m_isRetryScheduled = false;
     /** Valid within one pass. */
     NoRoomCache m_noRoom;
+    std::map<ServiceName, bool> m_isMostlyUnused;
     bool m_passRequested = false;
     std::optional<TimePoint> m_lastPass;
 };
--- a/tests/libjobs/testfillercost.cpp
+++ b/tests/libjobs/testfillercost.cpp
@@ -21,7 +21,7 @@
 
 std::optional<double> costOf(double contention, bool isFirst, const FillerImpact &impact)
 {
-    FillerCost cost(contention, isFirst);
+    FillerCost cost(contention, isFirst, FillerThrottling::Avoided);
     cost.add(impact);
     return cost.total();
 }
@@ -279,6 +279,21 @@
     BOOST_TEST(cost(0.1, 0.2) == cost(0.5, 0.2));
 }
 
+/** Fillers that would have to be throttled on each worker waited until the end of the day, though most of it was
+ * unused. */
+BOOST_AUTO_TEST_CASE(acceptedThrottlingOpensWorkersInOrderOfTheExcess)
+{
+    const auto cost = [](double contention, double peakOverLimit) {
+        FillerCost worker(contention, false, FillerThrottling::Accepted);
+        worker.add({ -0.6, peakOverLimit, 0.5, 0.1 });
+        return worker.total();
+    };
+    BOOST_TEST_REQUIRE(cost(0.8, 0.3).has_value());
+    BOOST_TEST(cost(0.8, -0.5).value() < cost(0.8, 0.1).value());
+    BOOST_TEST(cost(0.8, 0.1).value() < cost(0.8, 0.3).value());
+    BOOST_TEST(!cost(1.2, -0.5).has_value());
+}
+
 /**
  * A burst of fillers, of which some workers can run more without harm than others. With the former rule they were
  * placed wherever throttling could make up for it, so that serving tasks were over their target and fillers halted
--- a/tests/libjobs/testplacing.cpp
+++ b/tests/libjobs/testplacing.cpp
@@ -188,6 +188,36 @@
     BOOST_TEST(cache.isKnownNotToFit(requestFor(plainStep(4000))));
 }
 
+/** A filler waited for as long as serving tasks that it disturbs ran on all workers, though most processors were
+ * unused. */
+BOOST_AUTO_TEST_CASE(fillersThatDisturbEverywhereRunThrottledWhileMostIsUnused)
+{
+    FleetFixture box(2);
+    NeighbourKnowledge knowledge;
+    knowledge.servers = { { ImageName("shop"), { 10, 0.6 } } };
+    knowledge.coefficients = { { { ImageName("press"), ImageName("shop") }, { 2.0, 0.01 } } };
+    box.neighbours().adopt(knowledge);
+    StepSpec server = servingStep("shop");
+    server.need.processors = Millicores(1000);
+    box.occupy(0, JobId("serving"), server);
+    box.occupy(1, JobId("serving"), server);
+    const StepSpec filler = fillerStep("press", 4000);
+    PlacementRequest request = requestFor(filler);
+    BOOST_TEST((box.placer().choose(request, box.now()) == nullptr));
+    BOOST_TEST(box.placer().isMostlyUnused(request.service));
+    NoRoomCache cache;
+    cache.recordNoRoom(request);
+    request.throttling = FillerThrottling::Accepted;
+    BOOST_TEST((box.placer().choose(request, box.now()) != nullptr));
+    BOOST_TEST(!cache.isKnownNotToFit(request));
+    for (int worker = 0; worker < 2; ++worker) {
+        for (int run = 0; run < 10; ++run) {
+            box.occupy(worker, JobId("more" + std::to_string(run)), plainStep(2000));
+        }
+    }
+    BOOST_TEST(!box.placer().isMostlyUnused(request.service));
+}
+
 /** A lasting task waited out the quarantine of the only worker with room, long after that worked again. */
 BOOST_AUTO_TEST_CASE(longQuarantineIsShorterForLastingTasksWithoutOtherRoom)
 {
