--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -2,7 +2,6 @@
 
 #include "jobevents.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace currantring {
@@ -15,19 +14,9 @@
 constexpr Milliseconds unsupportedConfirmAge { 200 };
 constexpr Milliseconds confirmCheckInterval { 150 };
 constexpr Milliseconds retryAfter { 1000 };
-/** Callers retry a few times only, and shouldn't find that the store has long been back either. */
-constexpr Milliseconds maxSubmissionRetryAfter { 4000 };
 /** Without a confirmation of the claim for this time, another host may have been the writer, and counts be wrong. */
 constexpr Milliseconds maxCountAge { 2000 };
 
-/** An outage that has lasted for some time is expected to last as long again, so callers' retries outlive a long one.
- */
-Milliseconds retryAfterOutage(const CallerCall &call, Milliseconds commitAge)
-{
-    const bool isSubmission = std::holds_alternative<SubmitJob>(call);
-    return isSubmission ? std::clamp(commitAge, retryAfter, maxSubmissionRetryAfter) : retryAfter;
-}
-
 void answerAccepted(std::map<JobId, std::vector<JobWriter::Answer>> &waiting, const JobId &job)
 {
     const std::vector<JobWriter::Answer> answers = std::move(waiting.at(job));
@@ -138,15 +127,12 @@
     if (!m_log.isStuck()) {
         return false;
     }
-    const Milliseconds age = m_log.commitAge();
-    const Milliseconds delay = retryAfterOutage(call, age);
     m_context.log(LogLevel::Info, events::callRefused,
                   { { "call", std::string(callName(call)) },
                     { "subject", callSubject(call) },
                     { "reason", "store-stuck" },
-                    { "commit_age_ms", std::to_string(age.count()) },
-                    { "retry_after_ms", std::to_string(delay.count()) } });
-    then({ CallOutcome::Refused, {}, 0, delay });
+                    { "commit_age_ms", std::to_string(m_log.commitAge().count()) } });
+    then({ CallOutcome::Refused, {}, 0, retryAfter });
     return true;
 }
 
