Order jobs that aren't overdue by least remaining work

Cause: under overload each job reached the head of the order when it had no slack left, so that nearly all jobs ended late, and a job that could only just be on time was begun although its best-effort tasks take longer than estimated. Change: among jobs of one priority and deadline state, the one with the least remaining work, divided by the square root of its whole work, is placed first; overdue jobs stay in the order of their latest start. A best-effort step counts twice when a job is judged on time. Lasting tasks follow the jobs that are on time and are ordered by their waiting time, by a field of their own. All path durations of a key are calculated in one pass over the steps, with one allocation instead of two or more.

--- a/src/libjobs/joburgency.cpp
+++ b/src/libjobs/joburgency.cpp
@@ -1,6 +1,7 @@
 #include "joburgency.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace currantring {
@@ -10,35 +11,91 @@
 /** A job that misses its objective counts as overdue beyond this multiple of it. */
 constexpr std::int64_t lateFactor = 3;
 
-/** Duration of the critical path, where steps for which @p isFinished holds take no time. */
-template<typename IsOver>
-Milliseconds criticalPathOf(const JobSpec &spec, IsOver isFinished)
+/**
+ * Factor on the estimates of best-effort steps when a job is judged on time: a step ends with its slowest run, and
+ * best-effort tasks share processors and may be throttled or moved.
+ */
+constexpr std::int64_t fillerFactor = 2;
+
+/** Durations of the critical path through the steps of a job. */
+struct PathDurations
+{
+    Milliseconds whole {};
+    /** Without the steps that are done. */
+    Milliseconds remaining {};
+    /** The same with fillerFactor. */
+    Milliseconds cautious {};
+};
+
+void raiseTo(PathDurations &durations, const PathDurations &others)
 {
-    std::vector<Milliseconds> endsAt;
-    Milliseconds longest {};
+    durations.whole = std::max(durations.whole, others.whole);
+    durations.remaining = std::max(durations.remaining, others.remaining);
+    durations.cautious = std::max(durations.cautious, others.cautious);
+}
+
+/** Calculates all durations in one pass over the steps, as they are needed for each waiting step in each placement
+ * pass. */
+template<typename IsDone>
+PathDurations pathDurations(const JobSpec &spec, IsDone isDone)
+{
+    std::vector<PathDurations> endsAt;
+    endsAt.reserve(spec.steps.size());
+    PathDurations longest;
     for (std::uint32_t index = 0; index < spec.steps.size(); ++index) {
         const StepSpec &step = spec.steps[index];
-        Milliseconds beginsAt {};
+        PathDurations &end = endsAt.emplace_back();
         for (const std::uint32_t earlier : step.after) {
-            beginsAt = std::max(beginsAt, endsAt[earlier]);
+            raiseTo(end, endsAt[earlier]);
+        }
+        end.whole += step.estimate;
+        if (!isDone(index)) {
+            end.remaining += step.estimate;
+            end.cautious += step.estimate * (step.isFiller ? fillerFactor : 1);
         }
-        endsAt.push_back(beginsAt + (isFinished(index) ? Milliseconds(0) : step.estimate));
-        longest = std::max(longest, endsAt.back());
+        raiseTo(longest, end);
     }
     return longest;
 }
 
+PathDurations pathDurations(const Job &job, std::uint32_t occurrence)
+{
+    return pathDurations(*job.spec,
+                         [&job, occurrence](std::uint32_t index) { return job.isStepDone(occurrence, index); });
+}
+
+/** Estimated work of one task in millicore-milliseconds; positive, as jobs are ordered by ratios of work. */
+double workOfTask(const StepSpec &step)
+{
+    return static_cast<double>(std::max<std::int64_t>(step.estimate.count(), 1))
+        * static_cast<double>(std::max<std::int64_t>(step.need.processors.value(), 1));
+}
+
+/** Estimated work of the tasks that aren't done, divided by the square root of the work of all tasks. */
+double scaledRemainingWork(const Job &job, std::uint32_t occurrence)
+{
+    const std::vector<StepTasks> &progress = job.occurrences.at(occurrence).steps;
+    double whole = 0;
+    double remaining = 0;
+    for (std::size_t index = 0; index < progress.size(); ++index) {
+        const StepTasks &step = progress[index];
+        const double work = workOfTask(job.spec->steps[index]);
+        whole += work * static_cast<double>(step.tasks.size());
+        remaining += work * static_cast<double>(step.tasks.size() - step.doneCount);
+    }
+    return whole > 0 ? remaining / std::sqrt(whole) : 0;
+}
+
 } // namespace
 
 Milliseconds criticalPath(const JobSpec &spec)
 {
-    return criticalPathOf(spec, [](std::uint32_t) { return false; });
+    return pathDurations(spec, [](std::uint32_t) { return false; }).whole;
 }
 
 Milliseconds remainingCriticalPath(const Job &job, std::uint32_t occurrence)
 {
-    return criticalPathOf(*job.spec,
-                          [&job, occurrence](std::uint32_t index) { return job.isStepDone(occurrence, index); });
+    return pathDurations(job, occurrence).remaining;
 }
 
 JobUrgency urgencyOf(const Job &job, std::uint32_t occurrence, const QueueEntry &queue, WallTime now)
@@ -46,25 +103,22 @@
     const std::int64_t since = job.spec->schedule
         ? job.spec->schedule->first.value() + job.spec->schedule->interval.count() * occurrence
         : job.acceptedAt.value();
-    const auto path = static_cast<double>(criticalPath(*job.spec).count());
-    const auto objective = static_cast<std::int64_t>(path * queue.stretch) + queue.targetLatency.count();
-    const std::int64_t remaining = remainingCriticalPath(job, occurrence).count();
-    JobUrgency urgency;
-    urgency.priority = queue.priority;
-    for (const std::int64_t due : { since + objective, since + lateFactor * objective }) {
-        urgency.latestStart = due - remaining;
-        if (now.value() <= urgency.latestStart) {
-            return urgency;
-        }
-        urgency.deadlineState =
-            urgency.deadlineState == DeadlineState::OnTime ? DeadlineState::Late : DeadlineState::Overdue;
+    const PathDurations path = pathDurations(job, occurrence);
+    const std::int64_t objective = static_cast<std::int64_t>(static_cast<double>(path.whole.count()) * queue.stretch)
+        + queue.targetLatency.count();
+    const std::int64_t latestOnTime = since + objective - path.cautious.count();
+    const std::int64_t latest = since + lateFactor * objective - path.remaining.count();
+    if (now.value() > latest) {
+        return { queue.priority, DeadlineState::Overdue, WorkKind::Job, 0, latest };
     }
-    return urgency;
+    const bool isOnTime = now.value() <= latestOnTime;
+    return { queue.priority, isOnTime ? DeadlineState::OnTime : DeadlineState::Late, WorkKind::Job,
+             scaledRemainingWork(job, occurrence), isOnTime ? latestOnTime : latest };
 }
 
 JobUrgency urgencyOfLasting(const QueueEntry &queue, WallTime waitingSince)
 {
-    return { queue.priority, DeadlineState::OnTime, waitingSince.value() };
+    return { queue.priority, DeadlineState::OnTime, WorkKind::Lasting, 0, waitingSince.value() };
 }
 
 } // namespace currantring
--- a/src/libjobs/joburgency.h
+++ b/src/libjobs/joburgency.h
@@ -22,20 +22,38 @@
     Overdue,
 };
 
+/** What a JobUrgency is for. Jobs precede lasting work in the same deadline state, as their keys can't be compared. */
+enum class WorkKind {
+    Job,
+    /** Lasting tasks, which are ordered by their waiting time. */
+    Lasting,
+};
+
 /** Sort key of waiting work; smaller values are placed first. */
 struct JobUrgency
 {
     std::uint32_t priority = 0;
     DeadlineState deadlineState = DeadlineState::OnTime;
-    /** Latest start of the remaining work, in milliseconds of the wall clock. */
+    WorkKind kind = WorkKind::Job;
+    /**
+     * Remaining work divided by the square root of the whole work; 0 for overdue jobs, so that they are ordered by
+     * their latest start and each ends in a bounded time, and for lasting work.
+     */
+    double scaledWork = 0;
+    /**
+     * Latest start of the remaining work with which the job is in this state, in milliseconds of the wall clock. For
+     * lasting work, the time since which it waits.
+     */
     std::int64_t latestStart = 0;
 
     auto operator<=>(const JobUrgency &) const = default;
 };
 
 /**
- * Urgency of the open work of an occurrence. Work that can still meet its objective precedes work that can't; ties are
- * ordered by the latest start. Thread safety: reentrant.
+ * Urgency of the open work of an occurrence. Work that can still meet its objective precedes work that can't. Under
+ * overload, the order by least remaining work finishes most jobs within their objectives, and its division by the
+ * square root of the whole work keeps large jobs from being starved. Precondition: the occurrence has begun. Thread
+ * safety: reentrant.
  */
 JobUrgency urgencyOf(const Job &job, std::uint32_t occurrence, const QueueEntry &queue, WallTime now);
 
