Place lasting tasks before jobs that are on time, as before

Cause: with the former key a waiting lasting task preceded the jobs of its priority that are on time, as the time since which it waits isn't after the latest start of such a job. Placed after them, it waits while there are waiting jobs that are on time: SiteWithoutRandomFaults/longRunningTaskIsPlacedAgainDespiteManyWaitingShortTasks failed, and with it a promise of docs/promises-platform.md. Change: the order of WorkKind.

--- a/src/libjobs/joburgency.h
+++ b/src/libjobs/joburgency.h
@@ -22,11 +22,11 @@
     Overdue,
 };
 
-/** What a JobUrgency is for. Jobs precede lasting work in the same deadline state, as their keys can't be compared. */
+/** What a JobUrgency is for. Lasting work precedes jobs in the same deadline state, as their keys can't be compared. */
 enum class WorkKind {
-    Job,
     /** Lasting tasks, which are ordered by their waiting time. */
     Lasting,
+    Job,
 };
 
 /** Sort key of waiting work; smaller values are placed first. */
