--- a/src/libjobs/joburgency.h
+++ b/src/libjobs/joburgency.h
@@ -51,9 +51,9 @@
 
 /**
  * Urgency of the open work of an occurrence. Work that can still meet its objective precedes work that can't. Under
- * overload, the order by least remaining work finishes most jobs within their objectives, and its division by the
- * square root of the whole work keeps large jobs from being starved. Precondition: the occurrence has begun. Thread
- * safety: reentrant.
+ * overload, the order by least remaining work finishes more jobs within their objectives than that by latest start;
+ * divided by the square root of the whole work, it places large jobs less far behind small ones. Precondition: the
+ * occurrence has begun. Thread safety: reentrant.
  */
 JobUrgency urgencyOf(const Job &job, std::uint32_t occurrence, const QueueEntry &queue, WallTime now);
 
--- a/tests/libjobs/testloadorder.cpp
+++ b/tests/libjobs/testloadorder.cpp
@@ -54,8 +54,8 @@
 BOOST_AUTO_TEST_SUITE(LoadOrder)
 
 /**
- * Load above capacity. With the former key each job was begun when it had no slack left, so that most ended late; with
- * the least remaining work alone, large jobs would be starved.
+ * Load above capacity. With the former key each job was begun when it had no slack left, so that most ended late. An
+ * order by work could starve large jobs instead.
  */
 BOOST_AUTO_TEST_CASE(overloadLeavesMoreJobsOnTimeAndLargeOnesServed)
 {
