Throttle best-effort tasks later, and let lasting tasks yield briefly to jobs on time

Cause: fillers were throttled well below the serving tasks' limit although placement leaves a margin now; and short jobs, for which callers wait, stood behind all lasting tasks while those were restarted. Change: the pacer aims 0.02 below the limit instead of 0.05; a lasting task yields to jobs that can be on time for its first 1.5 s.

--- a/src/libjobs/fillerpacer.cpp
+++ b/src/libjobs/fillerpacer.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/** Stress margin below a serving task's limit that the controller aims for. */
-constexpr double stressMargin = 0.05;
+/** Stress margin below a serving task's limit that the controller aims for; placement leaves a larger one. */
+constexpr double stressMargin = 0.02;
 /** Deviation from the wanted stress that causes no pace change. */
 constexpr double stressDeadBand = 0.02;
 /** Approximate delay until a load change shows in the reports, or a pace change in the load. */
--- a/src/libjobs/joburgency.cpp
+++ b/src/libjobs/joburgency.cpp
@@ -17,6 +17,9 @@
  */
 constexpr std::int64_t fillerFactor = 2;
 
+/** How long a lasting task yields to jobs; a fraction of the seconds in which it has to be back. */
+constexpr Milliseconds maxLastingYield { 1500 };
+
 /** Durations of the critical path through the steps of a job. */
 struct PathDurations
 {
@@ -116,9 +119,11 @@
              scaledRemainingWork(job, occurrence), isOnTime ? latestOnTime : latest };
 }
 
-JobUrgency urgencyOfLasting(const QueueEntry &queue, WallTime waitingSince)
+JobUrgency urgencyOfLasting(const QueueEntry &queue, WallTime waitingSince, WallTime now)
 {
-    return { queue.priority, DeadlineState::OnTime, WorkKind::Lasting, 0, waitingSince.value() };
+    const Milliseconds waited(now.value() - waitingSince.value());
+    const WorkKind kind = waited < maxLastingYield ? WorkKind::Lasting : WorkKind::WaitingLasting;
+    return { queue.priority, DeadlineState::OnTime, kind, 0, waitingSince.value() };
 }
 
 } // namespace currantring
--- a/src/libjobs/joburgency.h
+++ b/src/libjobs/joburgency.h
@@ -22,11 +22,14 @@
     Overdue,
 };
 
-/** What a JobUrgency is for. Lasting work precedes jobs in the same deadline state, as their keys can't be compared. */
+/** What a JobUrgency is for, in order of precedence within a deadline state, as the keys of the kinds can't be
+ * compared. */
 enum class WorkKind {
-    /** Lasting tasks, which are ordered by their waiting time. */
-    Lasting,
+    /** Lasting tasks that have waited for long. */
+    WaitingLasting,
     Job,
+    /** Other lasting tasks. */
+    Lasting,
 };
 
 /** Sort key of waiting work; smaller values are placed first. */
@@ -59,8 +62,9 @@
 
 /**
  * Urgency of a lasting task that has waited for placement since @p waitingSince. It is ordered by its waiting time, as
- * the service lacks it all that time whatever the age of its job. Thread safety: reentrant.
+ * the service lacks it all that time whatever the age of its job. For a short time it yields to jobs that can be on
+ * time, for which someone waits. Thread safety: reentrant.
  */
-JobUrgency urgencyOfLasting(const QueueEntry &queue, WallTime waitingSince);
+JobUrgency urgencyOfLasting(const QueueEntry &queue, WallTime waitingSince, WallTime now);
 
 } // namespace currantring
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -14,6 +14,8 @@
 constexpr double suspicionWeight = 1;
 /** A task on its last attempt isn't placed on a worker with a higher suspicion. */
 constexpr double maxLastAttemptSuspicion = 0.5;
+/** The same where the task itself has failed; low enough that the worker is avoided for some seconds after that. */
+constexpr double maxRepeatedSuspicion = 0.05;
 /** Fraction of their processors that serving tasks use at mean load. */
 constexpr double servingUtilization = 0.5;
 constexpr double minUnusedMillicores = 1000;
@@ -203,7 +205,7 @@
         return std::nullopt;
     }
     const double suspicion = m_health.failureScore(worker, now);
-    if (request.isLastAttempt && suspicion > maxLastAttemptSuspicion) {
+    if (request.isLastAttempt && suspicion > (failedOnWorker ? maxRepeatedSuspicion : maxLastAttemptSuspicion)) {
         return std::nullopt;
     }
     return (failedOnWorker ? failedOnWorkerCost : 0) + (isClosed ? quarantinedCost : 0) + suspicion * suspicionWeight;
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -247,7 +247,7 @@
     const WallTime wallNow = m_parts.context.wallNow();
     if (ready.step->isLasting) {
         const Milliseconds waited = m_parts.context.now() - ready.since;
-        return urgencyOfLasting(queue, WallTime(wallNow.value() - waited.count()));
+        return urgencyOfLasting(queue, WallTime(wallNow.value() - waited.count()), wallNow);
     }
     return urgencyOf(job, step.occurrence, queue, wallNow);
 }
