Tell when the last answered request of a watch was sent

Cause: lastAnswer() is the time at which an answer is handled. A process that was paused handles an answer long after it was given, so that what it tells looks new. The evacuation list needs the age of its contents.

Change: PrefixWatch::currentAsOf() is the time at which the request of the last complete answer was sent: the first page of a listing, or a watch. Calls, waits and timeouts are unchanged.

--- a/src/libjobs/prefixwatch.cpp
+++ b/src/libjobs/prefixwatch.cpp
@@ -60,6 +60,11 @@
     return m_lastAnswer;
 }
 
+std::optional<TimePoint> PrefixWatch::currentAsOf() const
+{
+    return m_currentAsOf;
+}
+
 bool PrefixWatch::isSynced() const
 {
     return m_isSynced;
@@ -68,6 +73,9 @@
 void PrefixWatch::list(const std::string &after)
 {
     m_isListing = true;
+    if (after.empty()) {
+        m_listBegunAt = m_context.now();
+    }
     m_context.callStore(KvList { m_prefix, after, false }, listTimeout,
                         m_lifetime.guard([this, round = m_round](const KvResult &result) {
                             if (round == m_round) {
@@ -114,6 +122,7 @@
     }
     m_listed.clear();
     m_isSynced = true;
+    m_currentAsOf = m_listBegunAt;
     m_handlers.onSynced();
     scheduleNext();
 }
@@ -158,6 +167,7 @@
     }
     m_backoff = {};
     m_lastAnswer = m_context.now();
+    m_currentAsOf = m_watchBegunAt;
     m_revision = std::max(m_revision, result->revision);
     for (const KvEntry &entry : result->entries) {
         applyEntry(entry);
--- a/src/libjobs/prefixwatch.h
+++ b/src/libjobs/prefixwatch.h
@@ -43,6 +43,12 @@
     void refresh();
     /** Time of the store's last answer; nullopt before the first one. */
     [[nodiscard]] std::optional<TimePoint> lastAnswer() const;
+    /**
+     * When the request of the last complete answer was sent: changes up to then are known. Unlike lastAnswer(), it
+     * isn't later than the answer, which a paused process may handle long after it was given. Nullopt before the first
+     * complete listing.
+     */
+    [[nodiscard]] std::optional<TimePoint> currentAsOf() const;
     /** Whether all entries have been listed at least once. */
     [[nodiscard]] bool isSynced() const;
 
@@ -71,10 +77,13 @@
     /** Wait and beginning of the watch under way; nullopt when there is none. */
     std::optional<Milliseconds> m_pendingWait;
     TimePoint m_watchBegunAt {};
+    /** When the first page of the latest listing was requested. */
+    TimePoint m_listBegunAt {};
     bool m_isSynced = false;
     std::map<std::string, StoreRevision> m_known;
     std::map<std::string, StoreRevision> m_listed;
     std::optional<TimePoint> m_lastAnswer;
+    std::optional<TimePoint> m_currentAsOf;
 };
 
 } // namespace currantring
