--- a/src/libjobs/siteformats.h
+++ b/src/libjobs/siteformats.h
@@ -23,6 +23,10 @@
     std::string workerPrefix;
     /** Returns nullopt when the entry doesn't describe a usable worker. */
     std::function<std::optional<WorkerEntry>(const KvEntry &entry)> decodeWorker;
+    /** Prefix of the keys that name evacuated data centres; empty where the deployment has no evacuations. */
+    std::string evacuationPrefix {};
+    /** Time from the operator's write of such a key to the last start that a worker there may receive. */
+    Milliseconds evacuationBound { 5000 };
 };
 
 } // namespace currantring
--- /dev/null
+++ b/tests/libsite/testsitesettings.cpp
@@ -0,0 +1,55 @@
+#include "sitesettings.h"
+#include "sitewire.h"
+
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace currantring;
+using namespace currantring::platform;
+
+namespace {
+
+/** A settings file with @p bounds in its table of bounds. */
+std::string settingsWith(const std::string &bounds)
+{
+    return "nodeName = \"h\"\nzone = \"z\"\nip = \"10.0.0.1\"\nportRange = [7000, 7009]\n"
+           "[listen]\nfront = \"10.0.0.1:80\"\nready = \"10.0.0.1:81\"\n"
+           "[platform]\naddress = \"10.0.0.2:90\"\n[limits]\nmemoryMb = 160\n[bounds]\n"
+        + bounds;
+}
+
+std::optional<Milliseconds> evacuationBoundIn(const std::string &bounds)
+{
+    const auto settings = parseSiteSettings(settingsWith(bounds), "settings");
+    BOOST_REQUIRE(settings.has_value());
+    return settings->evacuationBound;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SettingsOfEvacuations)
+
+/** Guards against a watch on deployments that have no evacuations: it would cost calls to the store. */
+BOOST_AUTO_TEST_CASE(withoutTheBoundThereIsNoPrefix)
+{
+    const std::optional<Milliseconds> bound = evacuationBoundIn("harmMs = 4000\n");
+    BOOST_TEST(!bound.has_value());
+    BOOST_TEST(siteFormats(bound).evacuationPrefix.empty());
+}
+
+BOOST_AUTO_TEST_CASE(withTheBoundTheOperatorsKeysAreRead)
+{
+    const std::optional<Milliseconds> bound = evacuationBoundIn("evacuateMs = 5000\n");
+    BOOST_REQUIRE(bound.has_value());
+    BOOST_TEST(bound->count() == 5000);
+    BOOST_TEST(siteFormats(bound).evacuationPrefix == "op/evacuate/");
+    BOOST_TEST(siteFormats(bound).evacuationBound.count() == 5000);
+}
+
+BOOST_AUTO_TEST_CASE(aBoundThatIsNoNumberIsAFinding)
+{
+    BOOST_TEST(!parseSiteSettings(settingsWith("evacuateMs = \"soon\"\n"), "settings").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
