Start nothing in an evacuated data centre

Cause: workers of an evacuated data centre got new runs like all others.

Change: WorkerFleet::isSchedulable is false there, so that no placement is decided. A placement that was committed, and a start that is held for a connection, are checked when they are sent, dropped as "evacuated" and placed again. A pass waits until the list is synced, so that a new writer lists it first, and a committed start waits while the list is too old, which it is after a pause of the process. While there is an evacuation, no task waits for a rack without schedulable workers. EvacuationReport logs begin, drain and end, and counts. Running work isn't touched.

Ruled out: checks at placement only, which let committed and held starts through; dropping committed starts when the list is too old, which costs a placement for each at each pause; absent racks on all deployments, which would change decisions where nothing is evacuated.

--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -43,18 +43,20 @@
     , m_log(log)
     , m_context(context)
     , m_handlers(std::move(handlers))
-    , m_fleet(m_options.token, m_options.timing, m_options.inherited, std::move(formats), context,
+    , m_evacuations(formats.evacuationPrefix, formats.evacuationBound, context, evacuationHandlers())
+    , m_fleet(m_options.token, m_options.timing, m_options.inherited, std::move(formats), m_evacuations, context,
               { [this](WorkerLink & /*link*/) { m_starter.requestPass(); }, [this] { m_starter.requestPass(); },
                 [this](WorkerLink & /*link*/) { m_starter.requestPass(); },
                 [this](const WorkerId &worker) {
                     return linkHandlers(worker);
                 } })
+    , m_evacuationReport(m_evacuations, m_fleet, context)
     , m_availability(m_log, m_fleet)
     , m_knowledge(m_options.layout, m_options.token, context, m_neighbours)
     , m_interference(m_neighbours)
     , m_pacer(m_neighbours)
     , m_placer(m_fleet, m_interference, m_health)
-    , m_starter({ m_log, m_context, m_fleet, m_placer, m_health, m_queues },
+    , m_starter({ m_log, m_context, m_fleet, m_evacuations, m_placer, m_health, m_queues },
                 [this](const WorkerId &worker, const LiveRun &run, std::string_view reason) {
                     handleRunLoss(worker, run, reason);
                 })
@@ -96,12 +98,27 @@
         const bool isKnown = job != nullptr && task.step.step < job->spec->steps.size();
         return isKnown ? job->step(task.step.step) : nullptr;
     };
+    handlers.isEvacuated = [this, worker] {
+        const WorkerLink *const link = m_fleet.find(worker);
+        return link != nullptr && m_evacuations.isEvacuated(link->entry().dataCentre);
+    };
     handlers.mayExtendLease = [this] {
         return mayExtendLease();
     };
     return handlers;
 }
 
+EvacuationList::Handlers RunController::evacuationHandlers()
+{
+    return { [this](const DataCentreId & /*dataCentre*/) {
+                m_evacuationReport.update();
+                m_starter.requestPass();
+            },
+             [this] {
+                 m_starter.requestPass();
+             } };
+}
+
 RunMonitor::Sources RunController::monitorSources()
 {
     return { [this](const LiveRun &run) { return m_starter.requestFor(run.ref.task, *run.step, run.queue); },
@@ -135,6 +152,7 @@
         }
     }
     m_knowledge.start();
+    m_evacuations.start();
     m_fleet.start();
     sweep();
 }
@@ -312,6 +330,9 @@
                     { "reason", std::string(reason) },
                     { "after_ms", std::to_string((m_context.now() - run.placedAt).count()) } });
     m_context.count("runs_lost", reason);
+    if (reason == "evacuated") {
+        m_context.count("starts_evacuated");
+    }
     recordEnd(run, RunEnd::Lost, run.checkpoint);
 }
 
@@ -519,6 +540,7 @@
 {
     m_neighbours.expireLoads(m_context.now());
     m_interference.clear();
+    m_evacuationReport.update();
     // Capacity for fillers changes with the load of serving tasks, which raises no event.
     m_starter.requestPass();
     m_context.schedule(sweepInterval, m_lifetime.guard([this] { sweep(); }));
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "evacuationlist.h"
+#include "evacuationreport.h"
 #include "fillerpacer.h"
 #include "joblog.h"
 #include "knowledgestore.h"
@@ -73,6 +75,7 @@
 private:
     WorkerLink::Handlers linkHandlers(const WorkerId &worker);
     RunMonitor::Sources monitorSources();
+    EvacuationList::Handlers evacuationHandlers();
     void inheritRuns(const Job &job);
     void openStep(const Job &job, std::uint32_t occurrence, std::uint32_t step);
     void openTask(const Job &job, const TaskRef &task);
@@ -106,7 +109,9 @@
     Handlers m_handlers;
     Lifetime m_lifetime;
     QueueRegistry m_queues;
+    EvacuationList m_evacuations;
     WorkerFleet m_fleet;
+    EvacuationReport m_evacuationReport;
     StepAvailability m_availability;
     NeighbourModel m_neighbours;
     KnowledgeStore m_knowledge;
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -89,11 +89,13 @@
 
 void RunStarter::pass()
 {
-    if (!m_parts.fleet.isListed()) {
+    if (!m_parts.fleet.isListed() || !m_parts.evacuations.confirm()) {
         return;
     }
     m_lastPass = m_parts.context.now();
+    startDeferred();
     m_noRoom.clear();
+    noteSchedulableRacks();
     placeAnswered();
     m_waitingForTickets.clear();
     for (const StepRef &step : stepsByUrgency()) {
@@ -218,7 +220,27 @@
 
 bool RunStarter::isWaitingForRack(const ReadyStep &ready, const Label &rack) const
 {
-    return !rack.value().empty() && mayWaitForRack(ready);
+    return !rack.value().empty() && mayWaitForRack(ready) && !isRackAbsent(rack);
+}
+
+void RunStarter::noteSchedulableRacks()
+{
+    m_schedulableLabels.clear();
+    if (m_parts.evacuations.evacuations().empty()) {
+        return;
+    }
+    for (const auto &[id, link] : m_parts.fleet.links()) {
+        if (m_parts.fleet.isSchedulable(*link)) {
+            m_schedulableLabels.insert(link->entry().labels.begin(), link->entry().labels.end());
+        }
+    }
+}
+
+/** Whether waiting for a rack is futile, as an evacuation is under way and none of the rack's workers is schedulable.
+ */
+bool RunStarter::isRackAbsent(const Label &rack) const
+{
+    return !m_parts.evacuations.evacuations().empty() && !m_schedulableLabels.contains(rack);
 }
 
 JobUrgency RunStarter::urgencyOfStep(const StepRef &step, const ReadyStep &ready, const Job &job,
@@ -407,7 +429,8 @@
         }
     }
     const bool maySpanRacks = dataRack.value().empty() && !ready.step->wantsOneRack;
-    const bool mayWait = !maySpanRacks && mayWaitForRack(ready);
+    const bool wantsAbsentRack = !ready.step->wantsOneRack && isRackAbsent(dataRack);
+    const bool mayWait = !maySpanRacks && !wantsAbsentRack && mayWaitForRack(ready);
     if (mayWait || !placeGangOn(step, ready, {})) {
         waitForTickets(step, queue);
     }
@@ -475,6 +498,10 @@
     if (link == nullptr || job == nullptr || !link->runs().contains(run)) {
         return;
     }
+    if (!m_parts.evacuations.confirm()) {
+        m_deferredStarts.emplace_back(run, worker);
+        return;
+    }
     const std::string ticket = m_admission.ticket(run.task.step, worker, link->life());
     const std::string_view obstacle = obstacleToStart(run.task, *job, *link, ticket);
     if (!obstacle.empty()) {
@@ -486,6 +513,14 @@
     link->start(run, job->spec->payload, job->task(run.task).checkpoint, ticket);
 }
 
+/** Sends the committed starts that waited for the list of evacuations, which has been read. */
+void RunStarter::startDeferred()
+{
+    for (const auto &[run, worker] : std::exchange(m_deferredStarts, {})) {
+        start(run, worker);
+    }
+}
+
 /** Why a committed run isn't started after all; empty when it is. */
 std::string_view RunStarter::obstacleToStart(const TaskRef &task, const Job &job, const WorkerLink &link,
                                              const std::string &ticket) const
@@ -493,6 +528,9 @@
     if (job.isClosed() || job.task(task).isDone) {
         return "not-needed";
     }
+    if (m_parts.evacuations.isEvacuated(link.entry().dataCentre)) {
+        return "evacuated";
+    }
     if (!link.isReachable()) {
         return "worker-silent";
     }
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admissionclient.h"
+#include "evacuationlist.h"
 #include "joblog.h"
 #include "joburgency.h"
 #include "noroomcache.h"
@@ -10,6 +11,8 @@
 
 #include <functional>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace currantring {
@@ -29,6 +32,7 @@
         JobLog &log;
         JobContext &context;
         WorkerFleet &fleet;
+        EvacuationList &evacuations;
         const RunPlacer &placer;
         const WorkerHealth &health;
         const QueueRegistry &queues;
@@ -84,6 +88,9 @@
     [[nodiscard]] std::optional<AdmissionDemand> admissionDemand(const StepRef &step, const ReadyStep &ready) const;
     [[nodiscard]] bool mayWaitForRack(const ReadyStep &ready) const;
     [[nodiscard]] bool isWaitingForRack(const ReadyStep &ready, const Label &rack) const;
+    void startDeferred();
+    void noteSchedulableRacks();
+    [[nodiscard]] bool isRackAbsent(const Label &rack) const;
     [[nodiscard]] std::size_t waitingTasksOf(const StepRef &step) const;
     [[nodiscard]] std::string_view obstacleToStart(const TaskRef &task, const Job &job, const WorkerLink &link,
                                                    const std::string &ticket) const;
@@ -105,6 +112,10 @@
     bool m_isRetryScheduled = false;
     /** Valid within one pass. */
     NoRoomCache m_noRoom;
+    /** Labels of the workers that may get new runs, while there is an evacuation; valid within one pass. */
+    std::set<Label> m_schedulableLabels;
+    /** Committed runs whose starts wait until the list of evacuations is read. */
+    std::vector<std::pair<RunRef, WorkerId>> m_deferredStarts;
     bool m_passRequested = false;
     std::optional<TimePoint> m_lastPass;
 };
--- a/src/libjobs/workerfleet.cpp
+++ b/src/libjobs/workerfleet.cpp
@@ -18,11 +18,12 @@
 } // namespace
 
 WorkerFleet::WorkerFleet(WriterToken token, WorkerTiming timing, InheritedLeases inherited, SiteFormats formats,
-                         JobContext &context, Handlers handlers)
+                         const EvacuationList &evacuations, JobContext &context, Handlers handlers)
     : m_token(token)
     , m_timing(timing)
     , m_inherited(std::move(inherited))
     , m_formats(std::move(formats))
+    , m_evacuations(evacuations)
     , m_context(context)
     , m_handlers(std::move(handlers))
     , m_watch(m_formats.workerPrefix, context,
@@ -115,7 +116,7 @@
 {
     const bool isRecentlyListed = link.isListed() || m_context.now() - link.unlistedSince() < unlistedGrace;
     return isRecentlyListed && link.isReachable() && !link.reservedResources().hasRunOfUnknownSize()
-        && link.entry().standing == WorkerStanding::Ready;
+        && link.entry().standing == WorkerStanding::Ready && !m_evacuations.isEvacuated(link.entry().dataCentre);
 }
 
 void WorkerFleet::applyEntry(const KvEntry &entry)
--- a/src/libjobs/workerfleet.h
+++ b/src/libjobs/workerfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "evacuationlist.h"
 #include "inheritedleases.h"
 #include "prefixwatch.h"
 #include "siteformats.h"
@@ -30,9 +31,9 @@
         std::function<WorkerLink::Handlers(const WorkerId &worker)> linkHandlers;
     };
 
-    /** Precondition: @p context outlives the object. */
+    /** Precondition: @p evacuations and @p context outlive the object. */
     WorkerFleet(WriterToken token, WorkerTiming timing, InheritedLeases inherited, SiteFormats formats,
-                JobContext &context, Handlers handlers);
+                const EvacuationList &evacuations, JobContext &context, Handlers handlers);
 
     void start();
     /** Creates a link to a worker that is known from the log only, to track the runs recorded there. */
@@ -61,6 +62,7 @@
     WorkerTiming m_timing;
     InheritedLeases m_inherited;
     SiteFormats m_formats;
+    const EvacuationList &m_evacuations;
     JobContext &m_context;
     Handlers m_handlers;
     Lifetime m_lifetime;
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -194,7 +194,9 @@
         m_target.knownLife = std::max(m_target.knownLife, result->establishedBefore);
     }
     for (const auto &order : held) {
-        if (isKnownLife && isStarting(order->run)) {
+        if (isStarting(order->run) && m_handlers.isEvacuated()) {
+            reportLost(order->run, "evacuated");
+        } else if (isKnownLife && isStarting(order->run)) {
             sendStart(order, IfNotSent::Refuse);
         } else {
             refuseStart(order->run, WorkerFailure::NotSent);
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -75,6 +75,10 @@
         std::function<void()> onFenced;
         /** Looks up the step of a run that the worker reports but the writer doesn't track; null when unknown. */
         std::function<std::shared_ptr<const StepSpec>(const TaskRef &task)> describeRun;
+        /** Whether nothing may be started on the worker as its data centre is evacuated; checked for held starts. */
+        std::function<bool()> isEvacuated = [] {
+            return false;
+        };
         /** Whether the writer is currently allowed to extend leases. */
         std::function<bool()> mayExtendLease;
     };
--- a/tests/libjobs/fleetfixture.cpp
+++ b/tests/libjobs/fleetfixture.cpp
@@ -21,7 +21,7 @@
                                    return std::optional(entryOf(entry.key));
                                } };
     m_fleet = std::make_unique<WorkerFleet>(
-        WriterToken(1), WorkerTiming {}, InheritedLeases { start, {} }, formats, m_context,
+        WriterToken(1), WorkerTiming {}, InheritedLeases { start, {} }, formats, m_evacuations, m_context,
         WorkerFleet::Handlers { [](WorkerLink &) {}, [] {}, [](WorkerLink &) {},
                                 [](const WorkerId &) {
                                     WorkerLink::Handlers handlers;
--- a/tests/libjobs/fleetfixture.h
+++ b/tests/libjobs/fleetfixture.h
@@ -34,6 +34,7 @@
     NeighbourModel m_neighbours;
     InterferenceTable m_interference { m_neighbours };
     WorkerHealth m_health;
+    EvacuationList m_evacuations { {}, {}, m_context, {} };
     std::unique_ptr<WorkerFleet> m_fleet;
     std::unique_ptr<RunPlacer> m_placer;
 };
