Test evacuations with faults of writers, hosts and the store

Change: the stand-in gets data centres, the operator's key, prefixes that the store doesn't answer, and counts of reads and counters. The checker records a violation for a start order that arrives at a worker of an evacuated data centre later than 5 s after the key was written, or 4 s after an outage of the store that the test names.

--- a/tests/libjobs/invariantchecker.cpp
+++ b/tests/libjobs/invariantchecker.cpp
@@ -40,6 +40,45 @@
     m_workers.insert_or_assign(entry.id, entry);
 }
 
+void InvariantChecker::noteEvacuation(const DataCentreId &dataCentre, bool isEvacuated, TimePoint at)
+{
+    if (isEvacuated) {
+        m_evacuations.emplace(dataCentre, at);
+    } else {
+        m_evacuations.erase(dataCentre);
+    }
+}
+
+void InvariantChecker::noteStoreOutage(TimePoint until)
+{
+    m_storeOutageEnd = until;
+}
+
+void InvariantChecker::noteStartOrder(const WorkerId &worker, TimePoint at)
+{
+    const DataCentreId &dataCentre = m_workers.at(worker).dataCentre;
+    m_lastStartOrders[dataCentre] = at;
+    const auto evacuation = m_evacuations.find(dataCentre);
+    if (evacuation == m_evacuations.end()) {
+        return;
+    }
+    TimePoint latest = evacuation->second + m_bounds.evacuationDelay;
+    if (m_storeOutageEnd) {
+        latest = std::max(latest, *m_storeOutageEnd + m_bounds.evacuationDelayAfterOutage);
+    }
+    if (at > latest) {
+        recordViolation("EVACUATED", at,
+                        worker.value() + " receives a start " + std::to_string((at - evacuation->second).count())
+                            + " ms after the evacuation of " + dataCentre.value());
+    }
+}
+
+std::optional<TimePoint> InvariantChecker::lastStartOrderIn(const DataCentreId &dataCentre) const
+{
+    const auto found = m_lastStartOrders.find(dataCentre);
+    return found == m_lastStartOrders.end() ? std::nullopt : std::optional(found->second);
+}
+
 void InvariantChecker::noteWallStart(WallTime start)
 {
     m_wallStart = start;
--- a/tests/libjobs/invariantchecker.h
+++ b/tests/libjobs/invariantchecker.h
@@ -38,6 +38,10 @@
         Milliseconds calmTime { 4000 };
         /** A host in touch with the store uses a configuration after this time. */
         Milliseconds configurationDelay { 3000 };
+        /** A worker of an evacuated data centre may receive start orders for this time. */
+        Milliseconds evacuationDelay { 5000 };
+        /** The same, counted from the end of an outage of the store. */
+        Milliseconds evacuationDelayAfterOutage { 4000 };
         /** A host is in touch when it was undisturbed for this time. */
         Milliseconds contactTime { 3000 };
     };
@@ -54,6 +58,14 @@
     void noteVersionUse(const ProcessRef &process, ConfigurationVersion version, TimePoint sentAt,
                         std::optional<TimePoint> undisturbedSince);
     void noteWorker(const WorkerEntry &entry);
+    /** The store acknowledged that a data centre is evacuated, or no longer is. */
+    void noteEvacuation(const DataCentreId &dataCentre, bool isEvacuated, TimePoint at);
+    /** The store is out or slow until @p until. */
+    void noteStoreOutage(TimePoint until);
+    /** Checks a start order that arrives at a worker, whether or not the worker carries it out. */
+    void noteStartOrder(const WorkerId &worker, TimePoint at);
+    /** When the latest start order arrived at a worker of the data centre. */
+    [[nodiscard]] std::optional<TimePoint> lastStartOrderIn(const DataCentreId &dataCentre) const;
     /** Sets the wall-clock time at which the virtual clock is 0. */
     void noteWallStart(WallTime start);
     /** Widens the tolerance of early starts by the largest jump of a host's wall clock. */
@@ -147,6 +159,10 @@
     std::map<ConfigurationVersion, TimePoint> m_versions;
     std::map<ProcessRef, ConfigurationVersion> m_usedVersions;
     std::map<WorkerId, WorkerEntry> m_workers;
+    /** Since when data centres are evacuated. */
+    std::map<DataCentreId, TimePoint> m_evacuations;
+    std::map<DataCentreId, TimePoint> m_lastStartOrders;
+    std::optional<TimePoint> m_storeOutageEnd;
     std::map<JobId, JobRecord> m_jobs;
     std::map<TaskRef, TaskRecord> m_tasks;
     std::size_t m_starts = 0;
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -19,7 +19,7 @@
  * decoders look the rest up. The text "bad" stands for an entry that can't be decoded.
  */
 SiteFormats testFormats(const SiteConfiguration &configuration,
-                        const std::function<const WorkerEntry *(const std::string &)> &find)
+                        const std::function<const WorkerEntry *(const std::string &)> &find, bool hasEvacuations)
 {
     return { virtualConfigurationKey,
              [&configuration](std::string_view text) -> tl::expected<SiteConfiguration, Findings> {
@@ -34,7 +34,8 @@
              [find](const KvEntry &entry) -> std::optional<WorkerEntry> {
                  const WorkerEntry *const worker = find(entry.key.substr(virtualWorkerPrefix.size()));
                  return worker == nullptr || entry.value == "bad" ? std::nullopt : std::optional(*worker);
-             } };
+             },
+             hasEvacuations ? virtualEvacuationPrefix : std::string() };
 }
 
 } // namespace
@@ -78,6 +79,9 @@
         entry.service = ServiceName("office");
         entry.rack = Label("r" + std::to_string(index / 3));
         entry.labels = { Label("a"), entry.rack };
+        if (m_options.dataCentres > 0) {
+            entry.dataCentre = DataCentreId("dc" + std::to_string(index / 3 % m_options.dataCentres));
+        }
         entry.capacity = m_options.capacity;
         auto node = std::make_unique<WorkerNode>();
         const Milliseconds offset(static_cast<std::int64_t>(uniformBelow(m_random, 100'000)));
@@ -124,7 +128,9 @@
     options.nonce = m_random();
     options.storeValueBytes = m_options.valueBytes;
     host.node = std::make_unique<JobNode>(
-        options, testFormats(m_configuration, [this](const std::string &id) { return entryOf(WorkerId(id)); }),
+        options,
+        testFormats(
+            m_configuration, [this](const std::string &id) { return entryOf(WorkerId(id)); }, m_options.hasEvacuations),
         *host.context);
     host.node->start();
 }
@@ -417,6 +423,18 @@
     return configuration ? configuration->version : ConfigurationVersion(0);
 }
 
+std::size_t VirtualSite::readsOf(const std::string &prefix) const
+{
+    const auto found = m_reads.find(prefix);
+    return found == m_reads.end() ? 0 : found->second;
+}
+
+std::size_t VirtualSite::countOf(std::string_view counter) const
+{
+    const auto found = m_counters.find(counter);
+    return found == m_counters.end() ? 0 : found->second;
+}
+
 std::size_t VirtualSite::logCount(std::string_view event) const
 {
     const auto found = m_logCounts.find(event);
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -34,6 +34,10 @@
     std::size_t listedEnds = 2;
     /** Largest value that the store takes. */
     std::size_t valueBytes = 16'384;
+    /** Data centres of the racks, assigned in rotation; with 0 the workers name none. */
+    int dataCentres = 0;
+    /** Whether the deployment's settings have a bound for evacuations. */
+    bool hasEvacuations = false;
     VirtualAdmissionOptions admission { .admits = admitsTwoThirds };
 };
 
@@ -109,6 +113,8 @@
     void dropWatches();
     /** Loses each reply to a commit with this probability, after the commit took effect. */
     void loseStoreReplies(double probability);
+    /** Leaves calls that read entries under @p prefix without an answer. */
+    void silencePrefix(const std::string &prefix, bool isSilent);
     void partitionHosts(const HostId &left, const HostId &right, bool isPartitioned);
     void partitionWorker(const HostId &host, const WorkerId &worker, bool isPartitioned);
     void isolateWorker(const WorkerId &worker, bool isPartitioned);
@@ -119,6 +125,8 @@
     void applyOrdersLate(double probability);
     /** Loses each answer to an order other than a PollOrder with this probability, after the order took effect. */
     void loseOrderAnswers(double probability);
+    /** Writes or removes the key that evacuates a data centre, as the operator does. */
+    void evacuate(const DataCentreId &dataCentre, bool isEvacuated);
     /** Adds the worker's entry to the store, or removes it. */
     void listWorker(const WorkerId &worker, bool isListed);
     /** The worker announces that it leaves, after at least @p remaining. */
@@ -150,6 +158,10 @@
     [[nodiscard]] std::optional<std::size_t> trackedWork() const;
     [[nodiscard]] const SiteConfiguration &configuration() const;
     [[nodiscard]] ConfigurationVersion versionOn(const HostId &host) const;
+    /** Number of calls that read entries under @p prefix, from all hosts. */
+    [[nodiscard]] std::size_t readsOf(const std::string &prefix) const;
+    /** How often the processes of all hosts have incremented a counter. */
+    [[nodiscard]] std::size_t countOf(std::string_view counter) const;
     [[nodiscard]] std::size_t logCount(std::string_view event) const;
     /** Log lines of all hosts while recording is on. */
     [[nodiscard]] const std::vector<std::string> &transcript() const;
@@ -244,6 +256,9 @@
     std::vector<HeldPoll> m_heldPolls;
     std::set<std::pair<HostId, HostId>> m_hostCuts;
     std::set<std::pair<HostId, WorkerId>> m_workerCuts;
+    std::set<std::string> m_silentPrefixes;
+    std::map<std::string, std::size_t> m_reads;
+    std::map<std::string, std::size_t, std::less<>> m_counters;
     Milliseconds m_storeDelay { 4 };
     bool m_areWatchesDeaf = false;
     bool m_isEndingGang = false;
--- a/tests/libjobs/virtualsite_p.h
+++ b/tests/libjobs/virtualsite_p.h
@@ -6,6 +6,7 @@
 
 inline const std::string virtualConfigurationKey = "site/configuration";
 inline const std::string virtualWorkerPrefix = "site/workers/";
+inline const std::string virtualEvacuationPrefix = "site/evacuations/";
 
 /** A host and its current process. */
 struct VirtualSite::Host
--- a/tests/libjobs/virtualsitefaults.cpp
+++ b/tests/libjobs/virtualsitefaults.cpp
@@ -138,6 +138,15 @@
     m_storeReplyLoss = probability;
 }
 
+void VirtualSite::silencePrefix(const std::string &prefix, bool isSilent)
+{
+    if (isSilent) {
+        m_silentPrefixes.insert(prefix);
+    } else {
+        m_silentPrefixes.erase(prefix);
+    }
+}
+
 void VirtualSite::partitionHosts(const HostId &left, const HostId &right, bool isPartitioned)
 {
     for (const auto &pair : { std::pair(left, right), std::pair(right, left) }) {
@@ -200,6 +209,16 @@
     m_orderAnswerLoss = probability;
 }
 
+void VirtualSite::evacuate(const DataCentreId &dataCentre, bool isEvacuated)
+{
+    m_judge.noteEvacuation(dataCentre, isEvacuated, m_now);
+    if (isEvacuated) {
+        m_store.put(virtualEvacuationPrefix + dataCentre.value(), "{}");
+    } else {
+        m_store.remove(virtualEvacuationPrefix + dataCentre.value());
+    }
+}
+
 void VirtualSite::listWorker(const WorkerId &worker, bool isListed)
 {
     if (isListed) {
--- a/tests/libjobs/virtualsitewires.cpp
+++ b/tests/libjobs/virtualsitewires.cpp
@@ -8,6 +8,16 @@
 
 namespace {
 
+/** The prefix that a call lists or watches; empty for other calls. */
+std::string readPrefix(const KvRequest &request)
+{
+    if (const auto *const list = std::get_if<KvList>(&request)) {
+        return list->prefix;
+    }
+    const auto *const watch = std::get_if<KvWatch>(&request);
+    return watch == nullptr ? std::string() : watch->prefix;
+}
+
 /** Whether the order goes over the connections for orders, not over the one for polls. */
 bool usesOrderChannel(const WorkerOrder &order)
 {
@@ -58,7 +68,8 @@
     };
     driver.observe = [](std::string_view, const QueueName &, std::string_view, Milliseconds) {
     };
-    driver.count = [](std::string_view, std::string_view) {
+    driver.count = [this](std::string_view name, std::string_view /*reason*/) {
+        ++m_counters[std::string(name)];
     };
     return driver;
 }
@@ -179,8 +190,12 @@
         }
     };
     at(m_now + timeout, [finish] { finish(tl::unexpected(KvError { KvErrorKind::Unknown, {} })); });
+    ++m_reads[readPrefix(request)];
     at(m_now + latency(), [this, &host, process, request, finish] {
         const bool isWatch = std::holds_alternative<KvWatch>(request);
+        if (m_silentPrefixes.contains(readPrefix(request))) {
+            return;
+        }
         if (host.storeFault == StoreFault::Silent || (host.storeFault == StoreFault::WatchesSilent && isWatch)) {
             return;
         }
@@ -318,6 +333,9 @@
 void VirtualSite::arriveAtWorker(Host &host, const WorkerId &worker, const WorkerOrder &order,
                                  const JobDriver::WorkerHandler &then)
 {
+    if (std::holds_alternative<StartOrder>(order)) {
+        m_judge.noteStartOrder(worker, m_now);
+    }
     const WorkerResult result = workerNode(worker).worker->execute(order, m_now);
     const auto reply = [this, &host, worker, then](WorkerResult answer) {
         if (answer) {
