Limit what clients can make the HTTP server hold

Cause: the parser's limits applied to the header and the body only. Bytes that were received and not parsed yet had no limit while a request was received, so that an endless trailer section, chunk size or chunk extension filled the memory; Beast bounds a header by its unfinished part only; bodies without their last byte on all connections came to 108 MB. Change: RequestReceiver parses one request with storage of its own and bounds the header (bytes, fields), the line of a chunk, the trailer section (bytes, fields; its fields are dropped) and the body. A body is given room as it comes. Requests ahead of a response are bounded by 16,384 bytes (65,536 before), the system's buffers of a socket by 65,536 in each direction. ConnectionMemory holds one budget for all connections of a server, for callers an eighth of the host's memory; beyond it the connection that holds the most is closed, without a response, since a refusal would say that the job isn't stored. When all connections are taken, the oldest that is over a second old and never sent a whole request makes room. At most 64 connections are accepted in a round. connections_closed counts by reason, connection_closed tells at most once a second for each port and reason. An ordinary request is parsed where it was received and not copied first; the account changes in steps of 4,096 bytes.

--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -10,6 +10,7 @@
 inline constexpr std::string_view processStopped = "process_stopped";
 inline constexpr std::string_view processLate = "process_late";
 inline constexpr std::string_view settingsReloaded = "settings_reloaded";
+inline constexpr std::string_view connectionClosed = "connection_closed";
 
 inline constexpr std::string_view storeLost = "store_lost";
 inline constexpr std::string_view storeRegained = "store_regained";
--- a/src/libnet/byteconnection.cpp
+++ b/src/libnet/byteconnection.cpp
@@ -63,6 +63,11 @@
     return !m_unsent.empty();
 }
 
+std::size_t ByteConnection::unsentBytes() const
+{
+    return m_unsent.empty() ? 0 : m_unsent.capacity();
+}
+
 void ByteConnection::pauseReading()
 {
     m_isReading = false;
@@ -138,6 +143,7 @@
         }
         m_unsent.erase(0, sent > 0 ? static_cast<std::size_t>(sent) : 0);
         if (m_unsent.empty()) {
+            m_unsent.shrink_to_fit();
             updateWatch();
             m_handlers.onWritten();
             return;
--- a/src/libnet/byteconnection.h
+++ b/src/libnet/byteconnection.h
@@ -40,6 +40,8 @@
     void takeArrived();
     /** Whether bytes are kept for later. */
     [[nodiscard]] bool hasUnsent() const;
+    /** Memory that bytes kept for later take. */
+    [[nodiscard]] std::size_t unsentBytes() const;
     /** Stops taking bytes in until resumeReading(). */
     void pauseReading();
     void resumeReading();
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -1,33 +1,37 @@
-#include "httpserver.h"
+#include "httpserver_p.h"
 
-#include "byteconnection.h"
 #include "socket.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
-#include <map>
-#include <optional>
 #include <utility>
 
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/status.hpp>
 
 namespace currantring::net {
 
 namespace {
 
 namespace http = boost::beast::http;
-using RequestParser = http::request_parser<http::string_body>;
-
-/** Bytes of further requests that a connection may send ahead of a response. */
-constexpr std::size_t maximumAheadBytes = 65'536;
-
-constexpr unsigned badRequest = 400;
-constexpr unsigned payloadTooLarge = 413;
-constexpr unsigned headerTooLarge = 431;
+/** Connections that are accepted in one round, so that a flood of them can't keep the loop from the others. */
+constexpr int acceptedAtOnce = 64;
+/**
+ * Buffers of the system for a connection in each direction; the system doubles it. By itself it lets them grow to
+ * several megabytes of a client that doesn't read.
+ */
+constexpr int socketBufferBytes = 65'536;
+/** When all connections are taken, those that are this old and have never sent a whole request make room. */
+constexpr Milliseconds longestWaitForRoom { 1000 };
+/** Memory of a connection beside its bytes: its object, handlers, watch and timer. */
+constexpr std::size_t connectionBytes = 2048;
+/** What a connection holds is noted in these steps, so that a small request changes nothing. */
+constexpr std::size_t accountStep = 4096;
+/** Room for unparsed bytes that an idle connection may keep. */
+constexpr std::size_t keptBufferBytes = 4096;
 
 std::string formatResponse(const HttpResponse &response, bool closes)
 {
@@ -45,102 +49,49 @@
     return text + "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
 }
 
-HttpRequest takeRequest(RequestParser &parser)
-{
-    auto message = parser.release();
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message) {
-        request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    }
-    request.body = std::move(message.body());
-    return request;
-}
-
-unsigned statusOf(const boost::system::error_code &error)
-{
-    if (error == http::error::body_limit) {
-        return payloadTooLarge;
-    }
-    return error == http::error::header_limit ? headerTooLarge : badRequest;
-}
-
 } // namespace
 
-struct HttpServer::Private
-{
-    /** What a connection waits for. */
-    enum class Phase { Idle, Receiving, Answering, Writing };
-
-    struct Connection
-    {
-        std::uint64_t key = 0;
-        std::unique_ptr<ByteConnection> bytes;
-        std::unique_ptr<RequestParser> parser;
-        /** Received and not parsed yet. */
-        std::string ahead;
-        Phase phase = Phase::Idle;
-        RequestToken token;
-        bool closesAfterResponse = false;
-        std::optional<EventLoop::TimerKey> timer;
-    };
-    using ConnectionPointer = std::shared_ptr<Connection>;
-
-    void acceptAll();
-    void add(FileDescriptor socket);
-    void receive(const ConnectionPointer &connection, std::string_view bytes);
-    void parse(const ConnectionPointer &connection);
-    void refuse(const ConnectionPointer &connection, unsigned status);
-    void write(const ConnectionPointer &connection, const HttpResponse &response);
-    void finishResponse(const ConnectionPointer &connection);
-    void enter(const ConnectionPointer &connection, Phase phase, std::optional<Milliseconds> bound);
-    void drop(const ConnectionPointer &connection);
-    [[nodiscard]] Milliseconds idleTimeout() const;
-    [[nodiscard]] std::unique_ptr<RequestParser> makeParser() const;
-
-    EventLoop &loop;
-    Handlers handlers;
-    HttpServerLimits limits;
-    FileDescriptor listener;
-    std::map<std::uint64_t, ConnectionPointer> connections;
-    std::map<RequestToken, ConnectionPointer> waiting;
-    std::uint64_t lastKey = 0;
-    std::uint64_t lastToken = 0;
-    std::optional<Milliseconds> windingIdle;
-};
-
 Milliseconds HttpServer::Private::idleTimeout() const
 {
     return windingIdle.value_or(limits.idleTimeout);
 }
 
-std::unique_ptr<RequestParser> HttpServer::Private::makeParser() const
+void HttpServer::Private::acceptSome()
 {
-    auto parser = std::make_unique<RequestParser>();
-    parser->eager(true);
-    parser->header_limit(limits.maximumHeaderBytes);
-    parser->body_limit(limits.maximumBodyBytes);
-    return parser;
-}
-
-void HttpServer::Private::acceptAll()
-{
-    while (true) {
+    for (int count = 0; count < acceptedAtOnce; ++count) {
         FileDescriptor socket = acceptFrom(listener.get());
         if (!socket.isValid()) {
             return;
         }
-        if (connections.size() < limits.maximumConnections) {
+        if (connections.size() < limits.maximumConnections || makeRoom()) {
             add(std::move(socket));
+        } else {
+            tellClosed("connection-limit", 0);
         }
     }
 }
 
+/** Closes the oldest connection that has had its time and never sent a whole request; false when there is none. */
+bool HttpServer::Private::makeRoom()
+{
+    const auto latest = EventLoop::Clock::now() - longestWaitForRoom;
+    const auto found = std::ranges::find_if(connections, [latest](const auto &entry) {
+        return !entry.second->hasSentRequest && entry.second->accepted <= latest && !entry.second->closesAfterResponse;
+    });
+    if (found == connections.end()) {
+        return false;
+    }
+    const ConnectionPointer connection = found->second;
+    tellClosed("connection-limit", connection->notedBytes);
+    drop(connection);
+    return true;
+}
+
 void HttpServer::Private::add(FileDescriptor socket)
 {
     const auto connection = std::make_shared<Connection>();
     connection->key = ++lastKey;
+    connection->accepted = EventLoop::Clock::now();
     const std::weak_ptr<Connection> weak = connection;
     connection->bytes = std::make_unique<ByteConnection>(
         loop, std::move(socket), false,
@@ -150,6 +101,7 @@
                                        drop(weak.lock());
                                    } });
     connections.emplace(connection->key, connection);
+    noteMemory(*connection);
     enter(connection, Phase::Idle, idleTimeout());
 }
 
@@ -158,47 +110,72 @@
     if (!connections.contains(connection->key)) {
         return;
     }
-    connection->ahead.append(bytes);
     const bool isBusy = connection->phase == Phase::Answering || connection->phase == Phase::Writing;
-    if (!isBusy) {
-        parse(connection);
-    } else if (connection->ahead.size() > maximumAheadBytes) {
-        connection->bytes->pauseReading();
+    if (isBusy) {
+        connection->ahead.append(bytes);
+        if (connection->ahead.size() >= limits.maximumAheadBytes) {
+            connection->bytes->pauseReading();
+        }
+        noteMemory(*connection);
+        keepBudget();
+    } else if (connection->ahead.empty()) {
+        connection->ahead = bytes.substr(parse(connection, bytes));
+        proceed(connection);
+    } else {
+        connection->ahead.append(bytes);
+        parseAhead(connection);
     }
 }
 
-void HttpServer::Private::parse(const ConnectionPointer &connection)
+void HttpServer::Private::parseAhead(const ConnectionPointer &connection)
 {
-    if (connection->ahead.empty()) {
-        return;
+    connection->ahead.erase(0, parse(connection, connection->ahead));
+    if (connection->ahead.empty() && connection->ahead.capacity() > keptBufferBytes) {
+        connection->ahead.shrink_to_fit();
     }
+    proceed(connection);
+}
+
+std::size_t HttpServer::Private::parse(const ConnectionPointer &connection, std::string_view bytes)
+{
     if (connection->phase == Phase::Idle) {
-        connection->parser = makeParser();
+        connection->receiver.emplace(limits);
         enter(connection, Phase::Receiving, limits.requestTimeout);
     }
-    boost::system::error_code error;
-    const std::size_t used =
-        connection->parser->put(boost::asio::buffer(connection->ahead.data(), connection->ahead.size()), error);
-    connection->ahead.erase(0, used);
-    if (error && error != http::error::need_more) {
-        refuse(connection, statusOf(error));
+    return connection->receiver->put(bytes);
+}
+
+/** Goes on after bytes were parsed: refuses the request, hands it over, or waits for more. */
+void HttpServer::Private::proceed(const ConnectionPointer &connection)
+{
+    if (const auto fault = connection->receiver->fault()) {
+        refuse(connection, *fault);
         return;
     }
-    if (!connection->parser->is_done()) {
+    noteMemory(*connection);
+    keepBudget();
+    if (!connections.contains(connection->key) || !connection->receiver->isComplete()) {
         return;
     }
-    connection->closesAfterResponse = !connection->parser->keep_alive();
+    connection->closesAfterResponse = !connection->receiver->keepsConnection();
+    connection->hasSentRequest = true;
+    connection->requestBytes = connection->receiver->heldBytes();
+    HttpRequest request = connection->receiver->take();
+    connection->receiver.reset();
     connection->token = RequestToken(++lastToken);
     enter(connection, Phase::Answering, std::nullopt);
     waiting.emplace(connection->token, connection);
-    handlers.onRequest(connection->token, takeRequest(*connection->parser));
+    handlers.onRequest(connection->token, std::move(request));
 }
 
-void HttpServer::Private::refuse(const ConnectionPointer &connection, unsigned status)
+void HttpServer::Private::refuse(const ConnectionPointer &connection, RequestFault fault)
 {
+    tellClosed(requestFaultName(fault), connection->notedBytes);
     connection->closesAfterResponse = true;
+    connection->receiver.reset();
+    connection->ahead = std::string();
     connection->bytes->pauseReading();
-    write(connection, { status, {}, {} });
+    write(connection, { statusOf(fault), {}, {} });
 }
 
 void HttpServer::Private::write(const ConnectionPointer &connection, const HttpResponse &response)
@@ -207,9 +184,16 @@
         connection->closesAfterResponse = true;
     }
     enter(connection, Phase::Writing, limits.writeTimeout);
+    connection->requestBytes = 0;
     connection->bytes->write(formatResponse(response, connection->closesAfterResponse));
     if (!connection->bytes->hasUnsent()) {
         finishResponse(connection);
+        return;
+    }
+    noteMemory(*connection);
+    if (memory.excess()) {
+        // The caller may be in the middle of its own work, in which it can't be told that other requests are gone.
+        loop.defer([this] { keepBudget(); });
     }
 }
 
@@ -221,10 +205,11 @@
     }
     connection->bytes->resumeReading();
     enter(connection, Phase::Idle, idleTimeout());
+    noteMemory(*connection);
     if (!connection->ahead.empty()) {
         loop.defer([this, connection] {
             if (connections.contains(connection->key) && connection->phase == Phase::Idle) {
-                parse(connection);
+                parseAhead(connection);
             }
         });
     }
@@ -242,17 +227,28 @@
         connection->timer = loop.schedule(*bound, [this, weak] {
             if (const ConnectionPointer known = weak.lock()) {
                 known->timer.reset();
-                drop(known);
+                expire(known);
             }
         });
     }
 }
 
+void HttpServer::Private::expire(const ConnectionPointer &connection)
+{
+    if (connection->phase != Phase::Idle && connections.contains(connection->key)) {
+        tellClosed(connection->phase == Phase::Receiving ? "request-timeout" : "write-timeout", connection->notedBytes);
+    }
+    drop(connection);
+}
+
 void HttpServer::Private::drop(const ConnectionPointer &connection)
 {
     if (connections.erase(connection->key) == 0) {
         return;
     }
+    memory.remove(connection->key);
+    connection->receiver.reset();
+    connection->ahead = std::string();
     const bool wasWaiting = connection->phase == Phase::Answering && waiting.erase(connection->token) != 0;
     if (connection->timer) {
         loop.cancel(*connection->timer);
@@ -265,9 +261,39 @@
     }
 }
 
+/** Notes what @p connection holds now. Precondition: it is one of the server's. */
+void HttpServer::Private::noteMemory(Connection &connection)
+{
+    const std::size_t parsed = connection.receiver ? connection.receiver->heldBytes() : connection.requestBytes;
+    const std::size_t held = connectionBytes + parsed + connection.ahead.capacity() + connection.bytes->unsentBytes();
+    const std::size_t noted = (held + accountStep - 1) / accountStep * accountStep;
+    if (noted != connection.notedBytes && connections.contains(connection.key)) {
+        connection.notedBytes = noted;
+        memory.note(connection.key, noted);
+    }
+}
+
+/** Closes connections until the others are within the budget. */
+void HttpServer::Private::keepBudget()
+{
+    for (auto excess = memory.excess(); excess; excess = memory.excess()) {
+        const ConnectionPointer connection = connections.at(*excess);
+        tellClosed("memory", connection->notedBytes);
+        drop(connection);
+    }
+}
+
+void HttpServer::Private::tellClosed(std::string_view reason, std::size_t bytes) const
+{
+    if (handlers.onClosed) {
+        handlers.onClosed({ reason, bytes, memory.held(), limits.maximumHeldBytes, connections.size() });
+    }
+}
+
 HttpServer::HttpServer(EventLoop &loop, Handlers handlers)
-    : m_d(std::make_unique<Private>(Private { loop, std::move(handlers), {}, {}, {}, {}, 0, 0, {} }))
+    : m_d(std::make_unique<Private>(Private { loop, std::move(handlers), {}, {}, {}, {}, 0, 0, {}, {} }))
 {
+    setLimits({});
 }
 
 HttpServer::~HttpServer()
@@ -287,7 +313,11 @@
     if (!m_d->listener.isValid()) {
         return tl::unexpected("can't listen on " + address.value() + ": " + std::strerror(errno));
     }
-    m_d->loop.watch(m_d->listener.get(), EPOLLIN, [this](std::uint32_t /*events*/) { m_d->acceptAll(); });
+    // Accepted sockets inherit them.
+    for (const int option : { SO_RCVBUF, SO_SNDBUF }) {
+        ::setsockopt(m_d->listener.get(), SOL_SOCKET, option, &socketBufferBytes, sizeof(socketBufferBytes));
+    }
+    m_d->loop.watch(m_d->listener.get(), EPOLLIN, [this](std::uint32_t /*events*/) { m_d->acceptSome(); });
     return {};
 }
 
@@ -299,6 +329,7 @@
 void HttpServer::setLimits(const HttpServerLimits &limits)
 {
     m_d->limits = limits;
+    m_d->memory.setBudget(limits.maximumHeldBytes);
 }
 
 void HttpServer::respond(RequestToken token, const HttpResponse &response)
@@ -332,4 +363,9 @@
     return m_d->waiting.size();
 }
 
+std::size_t HttpServer::heldBytes() const
+{
+    return m_d->memory.held();
+}
+
 } // namespace currantring::net
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -2,12 +2,14 @@
 
 #include "eventloop.h"
 #include "httpmessage.h"
+#include "httpserverlimits.h"
 #include "ids.h"
 #include "units.h"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -16,24 +18,26 @@
 /** Names one request that waits for its response. */
 using RequestToken = Strong<std::uint64_t, struct RequestTokenTag>;
 
-/** Bounds of an HttpServer; all may change while it runs. */
-struct HttpServerLimits
+/** A connection that the server closed, or whose request it refused, for a limit. */
+struct ClosedConnection
 {
-    std::size_t maximumConnections = 1000;
-    std::uint32_t maximumHeaderBytes = 16'384;
-    std::size_t maximumBodyBytes = 262'144;
-    /** From the first byte of a request, or from the connection's start, until the whole request is there. */
-    Milliseconds requestTimeout { 3000 };
-    /** A connection without a request under way is closed after this time. */
-    Milliseconds idleTimeout { 15'000 };
-    /** A response that the other end doesn't take is given up after this time. */
-    Milliseconds writeTimeout { 5000 };
+    /** Constant name: that of a RequestFault, `memory`, `connection-limit`, `request-timeout` or `write-timeout`. */
+    std::string_view reason;
+    /** Memory that the connection held, that all connections hold, and their budget. */
+    std::size_t bytes = 0;
+    std::size_t heldBytes = 0;
+    std::size_t budgetBytes = 0;
+    std::size_t connections = 0;
 };
 
 /**
  * Serves HTTP/1.1 on one address on the event loop's thread, one request at a time for each connection.
  *
- * Malformed and oversized requests are answered by itself. Thread safety: the event loop's thread only.
+ * Malformed and oversized requests are answered by itself. What a connection makes the server hold is bounded: parsed
+ * and unparsed bytes, requests ahead of a response, a request that waits for its response, and an unread response; so
+ * is the sum over all connections. A connection is closed without a response when it holds the most of an exceeded
+ * budget, since a refusal would say that the job it names isn't stored, which this layer doesn't know. Thread safety:
+ * the event loop's thread only.
  */
 class HttpServer
 {
@@ -44,6 +48,8 @@
         std::function<void(RequestToken token, HttpRequest request)> onRequest;
         /** The connection of @p token ended before the response; respond() is still allowed. */
         std::function<void(RequestToken token)> onGone = {};
+        /** Tells of each connection that was closed for a limit; mustn't call the server. */
+        std::function<void(const ClosedConnection &closed)> onClosed = {};
     };
 
     /** Precondition: @p loop outlives the object. */
@@ -64,6 +70,8 @@
     [[nodiscard]] std::size_t connections() const;
     /** Requests that wait for their response. */
     [[nodiscard]] std::size_t waiting() const;
+    /** Memory that the connections hold. */
+    [[nodiscard]] std::size_t heldBytes() const;
 
 private:
     struct Private;
--- /dev/null
+++ b/src/libnet/httpserver_p.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "byteconnection.h"
+#include "connectionmemory.h"
+#include "httpserver.h"
+#include "requestreceiver.h"
+
+#include <map>
+#include <optional>
+
+namespace currantring::net {
+
+struct HttpServer::Private
+{
+    /** What a connection waits for. */
+    enum class Phase { Idle, Receiving, Answering, Writing };
+
+    struct Connection
+    {
+        std::uint64_t key = 0;
+        std::unique_ptr<ByteConnection> bytes;
+        std::optional<RequestReceiver> receiver;
+        /** Received and not parsed yet. */
+        std::string ahead;
+        /** Memory of the request that waits for its response. */
+        std::size_t requestBytes = 0;
+        std::size_t notedBytes = 0;
+        EventLoop::Clock::time_point accepted;
+        bool hasSentRequest = false;
+        Phase phase = Phase::Idle;
+        RequestToken token;
+        bool closesAfterResponse = false;
+        std::optional<EventLoop::TimerKey> timer;
+    };
+    using ConnectionPointer = std::shared_ptr<Connection>;
+
+    void acceptSome();
+    void add(FileDescriptor socket);
+    bool makeRoom();
+    void receive(const ConnectionPointer &connection, std::string_view bytes);
+    void parseAhead(const ConnectionPointer &connection);
+    std::size_t parse(const ConnectionPointer &connection, std::string_view bytes);
+    void proceed(const ConnectionPointer &connection);
+    void refuse(const ConnectionPointer &connection, RequestFault fault);
+    void write(const ConnectionPointer &connection, const HttpResponse &response);
+    void finishResponse(const ConnectionPointer &connection);
+    void enter(const ConnectionPointer &connection, Phase phase, std::optional<Milliseconds> bound);
+    void expire(const ConnectionPointer &connection);
+    void drop(const ConnectionPointer &connection);
+    void noteMemory(Connection &connection);
+    void keepBudget();
+    void tellClosed(std::string_view reason, std::size_t bytes) const;
+    [[nodiscard]] Milliseconds idleTimeout() const;
+
+    EventLoop &loop;
+    Handlers handlers;
+    HttpServerLimits limits;
+    FileDescriptor listener;
+    std::map<std::uint64_t, ConnectionPointer> connections;
+    std::map<RequestToken, ConnectionPointer> waiting;
+    std::uint64_t lastKey = 0;
+    std::uint64_t lastToken = 0;
+    std::optional<Milliseconds> windingIdle;
+    ConnectionMemory memory;
+};
+
+} // namespace currantring::net
