Limit the framing of chunks and test each limit of the HTTP server

Cause: the extensions of many small chunks aren't held, but a client could have 268 MB of them parsed in three requests' time; no unit test covered the server's limits. Change: the sizes, extensions and line ends of a request's chunks are limited to 4,194,304 bytes together, 16 for each byte of the largest body. Connections that are accepted count towards the budget at once (a test found 7,040 bytes above it).

--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -65,6 +65,7 @@
         }
         if (connections.size() < limits.maximumConnections || makeRoom()) {
             add(std::move(socket));
+            keepBudget();
         } else {
             tellClosed("connection-limit", 0);
         }
--- a/src/libnet/httpserverlimits.h
+++ b/src/libnet/httpserverlimits.h
@@ -22,6 +22,11 @@
     std::size_t maximumBodyBytes = 262'144;
     /** The size of one chunk with its extensions. */
     std::size_t maximumChunkLineBytes = 16'384;
+    /**
+     * Sizes, extensions and line ends of all chunks together. They aren't held, but cost processor time. The default
+     * has room for 16 beside each byte of the largest body in chunks of one byte.
+     */
+    std::size_t maximumFramingBytes = 4'194'304;
     /** All fields after the last chunk. */
     std::size_t maximumTrailerBytes = 16'384;
     /** Bytes of further requests that are taken in ahead of a response; the rest waits in the system's buffer. */
--- a/src/libnet/requestreceiver.cpp
+++ b/src/libnet/requestreceiver.cpp
@@ -50,8 +50,8 @@
         return "too-many-fields";
     case RequestFault::BodyTooLarge:
         return "body-too-large";
-    case RequestFault::ChunkLineTooLong:
-        return "chunk-line-too-long";
+    case RequestFault::ChunkFramingTooLarge:
+        return "chunk-framing-too-large";
     case RequestFault::TrailerTooLarge:
         break;
     }
@@ -71,7 +71,7 @@
     case RequestFault::TrailerTooLarge:
         return headerTooLarge;
     case RequestFault::Malformed:
-    case RequestFault::ChunkLineTooLong:
+    case RequestFault::ChunkFramingTooLarge:
         break;
     }
     return badRequest;
@@ -96,9 +96,7 @@
     {
         ErrorCode error;
         const std::size_t used = put(boost::asio::buffer(bytes.data(), bytes.size()), error);
-        if (!is_header_done()) {
-            m_headerBytes += used;
-        }
+        m_usedBytes += used;
         if (error && error != http::error::need_more) {
             m_fault = m_fault.value_or(faultOf(error));
         } else if (!is_done()) {
@@ -128,11 +126,16 @@
     void checkRest(std::string_view rest)
     {
         if (!is_header_done()) {
-            if (m_headerBytes + rest.size() > m_limits.maximumHeaderBytes) {
+            if (m_usedBytes + rest.size() > m_limits.maximumHeaderBytes) {
                 m_fault = RequestFault::HeaderTooLarge;
             }
             return;
         }
+        if (m_usedBytes - m_request.body.size()
+            > std::size_t { m_limits.maximumHeaderBytes } + m_limits.maximumFramingBytes) {
+            m_fault = RequestFault::ChunkFramingTooLarge;
+            return;
+        }
         if (rest.size() <= std::min(m_limits.maximumChunkLineBytes, m_limits.maximumTrailerBytes)) {
             return;
         }
@@ -143,7 +146,7 @@
         if (isTrailer && rest.size() > m_limits.maximumTrailerBytes) {
             m_fault = RequestFault::TrailerTooLarge;
         } else if (!isTrailer && rest.size() > m_limits.maximumChunkLineBytes) {
-            m_fault = RequestFault::ChunkLineTooLong;
+            m_fault = RequestFault::ChunkFramingTooLarge;
         }
     }
 
@@ -202,7 +205,7 @@
     void on_chunk_header_impl(std::uint64_t size, string_view extensions, ErrorCode &error) override
     {
         if (extensions.size() > m_limits.maximumChunkLineBytes) {
-            refuse(RequestFault::ChunkLineTooLong, error);
+            refuse(RequestFault::ChunkFramingTooLarge, error);
         } else if (size == 0) {
             m_isTrailer = true;
             m_fields = 0;
@@ -222,8 +225,7 @@
     const HttpServerLimits m_limits;
     HttpRequest m_request;
     std::optional<RequestFault> m_fault;
-    /** Used bytes of a header that isn't complete. */
-    std::size_t m_headerBytes = 0;
+    std::size_t m_usedBytes = 0;
     /** Bytes of the request line and the header fields that are held. */
     std::size_t m_fieldBytes = 0;
     std::size_t m_trailerBytes = 0;
--- a/src/libnet/requestreceiver.h
+++ b/src/libnet/requestreceiver.h
@@ -15,7 +15,7 @@
     HeaderTooLarge,
     TooManyFields,
     BodyTooLarge,
-    ChunkLineTooLong,
+    ChunkFramingTooLarge,
     TrailerTooLarge,
 };
 
--- /dev/null
+++ b/tests/libnet/testhttpserver.cpp
@@ -0,0 +1,454 @@
+#include "httpserver.h"
+#include "thread.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+#include <future>
+#include <random>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace currantring;
+using namespace currantring::net;
+
+namespace {
+
+constexpr Milliseconds longest { 60'000 };
+constexpr std::size_t largeResponse = 4'000'000;
+constexpr std::size_t largestBody = 262'144;
+
+std::string post(std::string_view target, const std::string &body)
+{
+    return "POST " + std::string(target) + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+const std::string chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/** A plain connection; calls wait for a minute at most. */
+class Client
+{
+public:
+    explicit Client(const Address &server)
+        : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const std::string &text = server.value();
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(text.substr(text.find(':') + 1))));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const timeval timeout { longest.count() / 1000, 0 };
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+        setsockopt(m_socket, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+        BOOST_REQUIRE(connect(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+    }
+    ~Client()
+    {
+        close(m_socket);
+    }
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    /** Sends all; false once the server has closed. */
+    [[nodiscard]] bool send(std::string_view bytes) const
+    {
+        while (!bytes.empty()) {
+            const ssize_t sent = ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0) {
+                return false;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        return true;
+    }
+    /** Reads until @p end was read, or the server has closed. */
+    [[nodiscard]] std::string readUntil(std::string_view end) const
+    {
+        std::string text;
+        std::array<char, 16'384> bytes {};
+        while (end.empty() || !text.ends_with(end)) {
+            const ssize_t got = recv(m_socket, bytes.data(), bytes.size(), 0);
+            if (got <= 0) {
+                break;
+            }
+            text.append(bytes.data(), static_cast<std::size_t>(got));
+        }
+        return text;
+    }
+    /** Whether the server has closed; what it sent before is skipped. */
+    [[nodiscard]] bool awaitEnd() const
+    {
+        std::array<char, 16'384> bytes {};
+        ssize_t got = 0;
+        do {
+            got = recv(m_socket, bytes.data(), bytes.size(), 0);
+        } while (got > 0);
+        return got == 0 || errno != EAGAIN;
+    }
+
+private:
+    const int m_socket;
+};
+
+HttpServerLimits patientLimits()
+{
+    HttpServerLimits limits;
+    limits.requestTimeout = longest;
+    limits.idleTimeout = longest;
+    limits.writeTimeout = longest;
+    return limits;
+}
+
+/** A server on a thread of its own: it answers with the request's body, with a large one, or not at all. */
+class Served
+{
+public:
+    explicit Served(const HttpServerLimits &limits = patientLimits())
+        : m_server(m_loop,
+                   { [this](RequestToken token, const HttpRequest &request) { take(token, request); },
+                     [this](RequestToken /*token*/) { ++m_gone; },
+                     [this](const ClosedConnection &closed) {
+                         m_reasons.emplace_back(closed.reason);
+                     } })
+    {
+        BOOST_REQUIRE(m_loop.open());
+        m_server.setLimits(limits);
+        BOOST_REQUIRE(m_server.listen(Address("127.0.0.1:0")).has_value());
+        m_loop.onRoundEnd([this] { m_mostHeld = std::max(m_mostHeld, m_server.heldBytes()); });
+        m_address = m_server.listenAddress();
+        m_thread = Thread("server", [this] { m_loop.run(); });
+    }
+    ~Served()
+    {
+        m_loop.quit();
+        m_thread.join();
+    }
+    Served(const Served &) = delete;
+    Served &operator=(const Served &) = delete;
+
+    [[nodiscard]] const Address &address() const
+    {
+        return m_address;
+    }
+    /** Runs @p query on the server's thread. */
+    template<typename Query>
+    auto ask(Query query)
+    {
+        std::promise<decltype(query())> answer;
+        m_loop.post([&] { answer.set_value(query()); });
+        return answer.get_future().get();
+    }
+    template<typename Query>
+    [[nodiscard]] bool awaitTrue(Query query)
+    {
+        const auto end = EventLoop::Clock::now() + longest;
+        while (EventLoop::Clock::now() < end) {
+            if (ask(query)) {
+                return true;
+            }
+        }
+        return false;
+    }
+    [[nodiscard]] bool awaitReason(std::string_view reason, std::ptrdiff_t count = 1)
+    {
+        return awaitTrue([&] { return std::ranges::count(m_reasons, reason) >= count; });
+    }
+    [[nodiscard]] bool awaitRequests(std::size_t count)
+    {
+        return awaitTrue([&] { return m_requests >= count; });
+    }
+    [[nodiscard]] std::size_t closedCount()
+    {
+        return ask([this] { return m_reasons.size(); });
+    }
+    [[nodiscard]] std::size_t mostHeld()
+    {
+        return ask([this] { return m_mostHeld; });
+    }
+    [[nodiscard]] std::size_t held()
+    {
+        return ask([this] { return m_server.heldBytes(); });
+    }
+    [[nodiscard]] std::size_t connections()
+    {
+        return ask([this] { return m_server.connections(); });
+    }
+    [[nodiscard]] std::size_t requests()
+    {
+        return ask([this] { return m_requests; });
+    }
+    [[nodiscard]] std::size_t gone()
+    {
+        return ask([this] { return m_gone; });
+    }
+    /** Whether an ordinary request on a fresh connection gets its answer. */
+    [[nodiscard]] bool servesOrdinaryRequest()
+    {
+        const Client client(m_address);
+        return client.send(post("/", "ordinary")) && client.readUntil("ordinary").starts_with("HTTP/1.1 200 OK");
+    }
+
+private:
+    void take(RequestToken token, const HttpRequest &request)
+    {
+        ++m_requests;
+        if (request.target == "/large") {
+            m_server.respond(token, { 200, {}, std::string(largeResponse, 'x') });
+        } else if (request.target != "/kept") {
+            m_server.respond(token, { 200, {}, request.body });
+        }
+    }
+
+    EventLoop m_loop;
+    HttpServer m_server;
+    Address m_address;
+    std::vector<std::string> m_reasons;
+    std::size_t m_requests = 0;
+    std::size_t m_gone = 0;
+    std::size_t m_mostHeld = 0;
+    Thread m_thread;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpServers)
+
+/** Four clients with endless trailer fields took a process from 3 MB to 1,279 MB. */
+BOOST_AUTO_TEST_CASE(endlessRequestsAreClosedAndCounted)
+{
+    struct Row
+    {
+        std::string beginning;
+        std::string block;
+        std::string reason;
+    };
+    const std::string block(1024, 'x');
+    const std::string fields = "a: bcdefghijklm\r\n";
+    const std::vector<Row> rows {
+        { chunked + "1\r\nx\r\n0\r\n", fields, "trailer-too-large" },
+        { chunked + "0\r\na: ", block, "trailer-too-large" },
+        { chunked, std::string(1024, '0'), "chunk-framing-too-large" },
+        { chunked + "1;a=", block, "chunk-framing-too-large" },
+        { "GET /", block, "header-too-large" },
+        { "GET / HTTP/1.1\r\n", fields, "header-too-large" },
+        { chunked, "400\r\n" + block + "\r\n", "body-too-large" },
+        { "no request\r\n", block, "malformed" },
+    };
+    for (const Row &row : rows) {
+        Served served;
+        const Client client(served.address());
+        bool isOpen = client.send(row.beginning);
+        for (int count = 0; isOpen && count < 1'000'000; ++count) {
+            isOpen = client.send(row.block);
+        }
+        BOOST_TEST(!isOpen, row.reason);
+        BOOST_TEST(served.awaitReason(row.reason), row.reason);
+        BOOST_TEST(served.mostHeld() < 700'000U, row.reason);
+        BOOST_TEST(served.servesOrdinaryRequest(), row.reason);
+        BOOST_TEST(served.closedCount() == 1U, row.reason);
+    }
+}
+
+/** A refusal names what was too large, and nothing of the request is handed over. */
+BOOST_AUTO_TEST_CASE(refusalsAreAnsweredByStatus)
+{
+    Served served;
+    const std::vector<std::pair<std::string, std::string>> rows {
+        { "GET /" + std::string(20'000, 'x'), "431" },
+        { "POST / HTTP/1.1\r\nContent-Length: 262145\r\n\r\n", "413" },
+        { "nonsense\r\n\r\n", "400" },
+    };
+    for (const auto &[bytes, status] : rows) {
+        const Client client(served.address());
+        BOOST_TEST(client.send(bytes.substr(0, 16'385)));
+        BOOST_TEST(client.readUntil("").starts_with("HTTP/1.1 " + status));
+    }
+    BOOST_TEST(served.requests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(largestRequestsAreServedPlainAndInChunksOfOneByte)
+{
+    Served served;
+    const std::string body(largestBody, 'x');
+    std::string chunks = chunked;
+    for (std::size_t index = 0; index < body.size(); ++index) {
+        chunks += "1\r\nx\r\n";
+    }
+    for (const std::string &bytes : { post("/", body), chunks + "0\r\n\r\n" }) {
+        const Client client(served.address());
+        BOOST_TEST(client.send(bytes));
+        BOOST_TEST(client.readUntil("\r\n\r\n" + body).size() > body.size());
+    }
+    BOOST_TEST(served.closedCount() == 0U);
+}
+
+/** Bodies without their last byte on many connections exceeded the memory of the smallest hosts. */
+BOOST_AUTO_TEST_CASE(unfinishedRequestsStayWithinTheBudget)
+{
+    HttpServerLimits limits = patientLimits();
+    limits.maximumHeldBytes = 2'000'000;
+    Served served(limits);
+    const std::string request = post("/", std::string(largestBody, 'x'));
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int count = 0; count < 30; ++count) {
+        clients.push_back(std::make_unique<Client>(served.address()));
+        // The server may close it while it sends.
+        static_cast<void>(clients.back()->send(std::string_view(request).substr(0, request.size() - 1)));
+        BOOST_TEST(served.servesOrdinaryRequest());
+    }
+    BOOST_TEST(served.awaitReason("memory", 10));
+    BOOST_TEST(served.mostHeld() <= limits.maximumHeldBytes);
+    BOOST_TEST(served.requests() == 30U);
+}
+
+/** What waits for its response counts, too: requests of the largest size that nothing answers. */
+BOOST_AUTO_TEST_CASE(requestsThatWaitForAResponseStayWithinTheBudget)
+{
+    HttpServerLimits limits = patientLimits();
+    limits.maximumHeldBytes = 2'000'000;
+    Served served(limits);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int count = 0; count < 30; ++count) {
+        clients.push_back(std::make_unique<Client>(served.address()));
+        BOOST_TEST(clients.back()->send(post("/kept", std::string(largestBody, 'x'))));
+        BOOST_TEST(served.awaitRequests(static_cast<std::size_t>(count) + 1));
+    }
+    BOOST_TEST(served.awaitReason("memory", 20));
+    BOOST_TEST(served.gone() == served.closedCount());
+    BOOST_TEST(served.servesOrdinaryRequest());
+    BOOST_TEST(served.mostHeld() <= limits.maximumHeldBytes);
+}
+
+BOOST_AUTO_TEST_CASE(unreadResponsesStayWithinTheBudgetAndEnd)
+{
+    HttpServerLimits limits = patientLimits();
+    limits.maximumHeldBytes = 3 * largeResponse;
+    Served served(limits);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int count = 0; count < 8; ++count) {
+        clients.push_back(std::make_unique<Client>(served.address()));
+        BOOST_TEST(clients.back()->send("GET /large HTTP/1.1\r\n\r\n"));
+    }
+    BOOST_TEST(served.awaitReason("memory", 5));
+    BOOST_TEST(served.servesOrdinaryRequest());
+    // Closed at the end of the round in which the responses were written.
+    BOOST_TEST(served.held() <= limits.maximumHeldBytes);
+}
+
+BOOST_AUTO_TEST_CASE(anUnreadResponseIsGivenUp)
+{
+    HttpServerLimits limits = patientLimits();
+    limits.writeTimeout = Milliseconds(20);
+    Served served(limits);
+    const Client client(served.address());
+    BOOST_TEST(client.send("GET /large HTTP/1.1\r\n\r\n"));
+    BOOST_TEST(served.awaitReason("write-timeout"));
+    BOOST_TEST(client.awaitEnd());
+    BOOST_TEST(served.held() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aHalfRequestIsGivenUp)
+{
+    HttpServerLimits limits = patientLimits();
+    limits.requestTimeout = Milliseconds(20);
+    Served served(limits);
+    const Client client(served.address());
+    BOOST_TEST(client.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf"));
+    BOOST_TEST(served.awaitReason("request-timeout"));
+    BOOST_TEST(client.awaitEnd());
+}
+
+/** Requests that are sent ahead of a response are all served in turn, and no more of them is held than the limit. */
+BOOST_AUTO_TEST_CASE(pipelinedRequestsAreHeldWithinTheLimitAndServedInTurn)
+{
+    Served served;
+    const Client client(served.address());
+    constexpr std::size_t count = 20'000;
+    std::string bytes;
+    for (std::size_t index = 0; index < count; ++index) {
+        bytes += post("/", std::to_string(index));
+    }
+    Thread sender("sender", [&] { static_cast<void>(client.send(bytes + post("/", "last"))); });
+    const std::string answers = client.readUntil("last");
+    sender.join();
+    BOOST_TEST(served.requests() == count + 1);
+    std::size_t place = 0;
+    for (std::size_t index = 0; index < count && place != std::string::npos; ++index) {
+        place = answers.find("\r\n\r\n" + std::to_string(index) + "HTTP/1.1", place);
+    }
+    BOOST_TEST(place != std::string::npos);
+    BOOST_TEST(served.mostHeld() < 100'000U);
+    const Client unread(served.address());
+    BOOST_TEST(unread.send(post("/kept", "") + bytes.substr(0, 100'000)));
+    BOOST_TEST(served.held() < 100'000U);
+    BOOST_TEST(served.closedCount() == 0U);
+}
+
+/** Connections that never send a whole request kept all others out; those that have served one are kept. */
+BOOST_AUTO_TEST_CASE(connectionsWithoutARequestMakeRoom)
+{
+    HttpServerLimits limits = patientLimits();
+    limits.maximumConnections = 4;
+    Served served(limits);
+    const Client known(served.address());
+    BOOST_TEST(known.send(post("/", "first")));
+    BOOST_TEST(known.readUntil("first").starts_with("HTTP/1.1 200"));
+    std::vector<std::unique_ptr<Client>> silent;
+    for (int count = 0; count < 3; ++count) {
+        silent.push_back(std::make_unique<Client>(served.address()));
+        BOOST_TEST(silent.back()->send("GET /"));
+    }
+    // A fresh connection is closed until the silent ones have had their time.
+    const auto end = EventLoop::Clock::now() + longest;
+    bool isServed = false;
+    while (!isServed && EventLoop::Clock::now() < end) {
+        isServed = served.servesOrdinaryRequest();
+    }
+    BOOST_TEST(isServed);
+    BOOST_TEST(silent.front()->awaitEnd());
+    BOOST_TEST(served.awaitReason("connection-limit"));
+    BOOST_TEST(known.send(post("/", "second")));
+    BOOST_TEST(known.readUntil("second").starts_with("HTTP/1.1 200"));
+}
+
+/** Random bytes and changed requests, several on a connection: the server goes on and holds little. */
+BOOST_AUTO_TEST_CASE(randomClientsAreSurvived)
+{
+    Served served;
+    const std::vector<std::string> requests {
+        post("/", "body"), "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+        chunked + "3;a=\"b\"\r\nabc\r\nA\r\n0123456789\r\n0;c\r\nd: e\r\n f\r\n\r\n"
+    };
+    for (std::uint32_t seed = 1; seed <= 400; ++seed) {
+        std::mt19937 random(seed);
+        const auto below = [&random](std::size_t bound) {
+            return static_cast<std::size_t>(random() % bound);
+        };
+        const Client client(served.address());
+        for (std::size_t count = 1 + below(4); count > 0; --count) {
+            std::string bytes = requests[below(requests.size())];
+            for (std::size_t change = below(4); change > 0; --change) {
+                const std::size_t place = below(bytes.size());
+                if (below(3) == 0) {
+                    bytes.insert(place, std::string(1 + below(3000), static_cast<char>(random())));
+                } else {
+                    bytes[place] = static_cast<char>(random());
+                }
+            }
+            const std::size_t cut = below(bytes.size() + 1);
+            if (!client.send(std::string_view(bytes).substr(0, cut))
+                || !client.send(std::string_view(bytes).substr(cut))) {
+                break;
+            }
+        }
+    }
+    BOOST_TEST(served.servesOrdinaryRequest());
+    BOOST_TEST(served.mostHeld() < 10'000'000U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
