Parse the end of a chunked body in one piece

Change: RequestReceiver waits for five bytes of a chunked body before it parses on, the shortest end. The line of the last chunk no longer counts towards the trailer section.

--- a/src/libnet/requestreceiver.cpp
+++ b/src/libnet/requestreceiver.cpp
@@ -15,6 +15,8 @@
 using ErrorCode = boost::beast::error_code;
 
 constexpr std::string_view lineEnd = "\r\n";
+/** Each chunked body ends with at least these bytes. */
+constexpr std::string_view shortestEnd = "0\r\n\r\n";
 /** Blanks, version and line end of a request line. */
 constexpr std::size_t requestLineExtra = 12;
 /** Colon and line end of a field. */
@@ -94,6 +96,10 @@
 
     std::size_t putBytes(std::string_view bytes)
     {
+        // Beast expects the line of the last chunk and the blank line in one piece once it has seen the former.
+        if (is_header_done() && chunked() && bytes.size() < shortestEnd.size()) {
+            return 0;
+        }
         ErrorCode error;
         const std::size_t used = put(boost::asio::buffer(bytes.data(), bytes.size()), error);
         m_usedBytes += used;
@@ -142,11 +148,13 @@
         // Beast takes the line of a chunk once it is whole, and that of the last chunk with the trailer section. The
         // end of the chunk before may stand in front.
         const std::size_t begin = rest.starts_with(lineEnd) ? lineEnd.size() : 0;
-        const bool isTrailer = rest.find(lineEnd, begin) != std::string_view::npos;
-        if (isTrailer && rest.size() > m_limits.maximumTrailerBytes) {
+        const std::size_t end = rest.find(lineEnd, begin);
+        if (end == std::string_view::npos) {
+            if (rest.size() > m_limits.maximumChunkLineBytes) {
+                m_fault = RequestFault::ChunkFramingTooLarge;
+            }
+        } else if (rest.size() - end - lineEnd.size() > m_limits.maximumTrailerBytes) {
             m_fault = RequestFault::TrailerTooLarge;
-        } else if (!isTrailer && rest.size() > m_limits.maximumChunkLineBytes) {
-            m_fault = RequestFault::ChunkFramingTooLarge;
         }
     }
 
