Bound the requests that all connections of currantringd hold

Cause: SocketStream bounds each request, but 64 connections for each listener could hold 1,000,000 bytes each. On the peers' port a path or method of up to 64 KB was held for each of 128 streams. A value of a peer's header over 256 bytes isn't held.

--- a/src/currantringd/daemonsettings.cpp
+++ b/src/currantringd/daemonsettings.cpp
@@ -67,6 +67,7 @@
     limits.waiting = size(settings, "waiting-connections");
     limits.headerBytes = size(settings, "header-bytes");
     limits.bodyBytes = size(settings, "body-bytes");
+    limits.heldBytes = size(settings, "held-bytes");
     limits.requestTime = settings.duration("request-time");
     limits.writeTime = settings.duration("write-time");
     limits.idleTime = settings.duration("idle-time");
@@ -89,6 +90,8 @@
         integer("waiting-connections", "", 0, 4096, "16", "accepted connections that wait for their turn"),
         integer("header-bytes", "", 512, 1'048'576, "16384", "largest request header"),
         integer("body-bytes", "", 1024, 16'777'216, "1000000", "largest request body"),
+        integer("held-bytes", "", 1'048'576, 1'000'000'000, "33554432",
+                "requests of all connections of a listener together; larger ones are refused first beyond it"),
         integer("request-time", "ms", 100, 600'000, "5000", "longest time in which a request must have come in"),
         integer("write-time", "ms", 100, 600'000, "5000", "longest time in which an answer must have been taken"),
         integer("idle-time", "ms", 100, 600'000, "2000", "longest idle time of a kept connection"),
--- a/src/currantringd/httpfront.cpp
+++ b/src/currantringd/httpfront.cpp
@@ -1,5 +1,7 @@
 #include "httpfront.h"
 
+#include "log.h"
+
 #include <utility>
 
 namespace currantring {
@@ -184,8 +186,18 @@
             return;
         }
         const SocketStream *stream = LimitedServer::currentStream();
+        if (stream != nullptr && stream->isOverBudget()) {
+            // It wasn't whole, so nothing of it was run.
+            m_parts.metrics.countReason("requests_refused", "memory-limit");
+            writeLog({ LogLevel::Warning, "request_refused", { { "reason", "memory-limit" } } });
+            answer(response, ReplyCode::NotRun, outcomeBody(ReplyCode::NotRun, "memory-limit"), "application/json");
+            return;
+        }
         const int status = stream != nullptr && stream->isOverflowed() ? 413 : response.status;
         std::string message = "malformed request";
+        if (stream != nullptr && stream->isOverflowed()) {
+            m_parts.metrics.countReason("requests_invalid", "too-large");
+        }
         if (status == 413) {
             message = "expected at most " + std::to_string(m_options.limits.bodyBytes) + " bytes of body and "
                 + std::to_string(m_options.limits.headerBytes) + " of header, saw more";
--- a/src/currantringd/limitedserver.cpp
+++ b/src/currantringd/limitedserver.cpp
@@ -118,6 +118,11 @@
     return m_connections;
 }
 
+std::size_t LimitedServer::heldBytes() const
+{
+    return m_heldBytes;
+}
+
 const SocketStream *LimitedServer::currentStream()
 {
     return servedStream;
@@ -153,7 +158,7 @@
         return false;
     }
     ++m_connections;
-    SocketStream stream(socket, m_limits);
+    SocketStream stream(socket, m_limits, m_heldBytes);
     servedStream = &stream;
     serveConnection(stream);
     servedStream = nullptr;
--- a/src/currantringd/limitedserver.h
+++ b/src/currantringd/limitedserver.h
@@ -35,6 +35,8 @@
     void finish();
     /** Connections that are being served. */
     [[nodiscard]] std::size_t connections() const;
+    /** Bytes of the requests that are being received or served. */
+    [[nodiscard]] std::size_t heldBytes() const;
 
     /** The connection that the calling thread serves; null outside of a handler. */
     [[nodiscard]] static const SocketStream *currentStream();
@@ -48,6 +50,7 @@
     const ConnectionLimits m_limits;
     std::function<void()> m_onRefused;
     std::atomic<std::size_t> m_connections = 0;
+    std::atomic<std::size_t> m_heldBytes = 0;
     std::atomic<bool> m_finishing = false;
     int m_stopEvent = -1;
 };
--- a/src/currantringd/socketstream.cpp
+++ b/src/currantringd/socketstream.cpp
@@ -61,17 +61,29 @@
 
 } // namespace
 
-SocketStream::SocketStream(int socket, const ConnectionLimits &limits)
+SocketStream::SocketStream(int socket, const ConnectionLimits &limits, std::atomic<std::size_t> &heldBytes)
     : m_socket(socket)
     , m_limits(limits)
+    , m_heldBytes(heldBytes)
     , m_buffer(bufferBytes)
     , m_deadline(std::chrono::steady_clock::now() + limits.requestTime)
 {
 }
 
-bool SocketStream::awaitRequest(Milliseconds time, int stopEvent)
+SocketStream::~SocketStream()
+{
+    releaseRequest();
+}
+
+void SocketStream::releaseRequest()
 {
+    m_heldBytes -= m_requestBytes;
     m_requestBytes = 0;
+}
+
+bool SocketStream::awaitRequest(Milliseconds time, int stopEvent)
+{
+    releaseRequest();
     m_blankLine = 0;
     m_headerEnded = false;
     if (m_position == m_filled) {
@@ -88,9 +100,14 @@
     return m_overflowed;
 }
 
+bool SocketStream::isOverBudget() const
+{
+    return m_overBudget;
+}
+
 bool SocketStream::isBroken() const
 {
-    return m_broken || m_overflowed;
+    return m_broken || m_overflowed || m_overBudget;
 }
 
 Milliseconds SocketStream::timeLeft() const
@@ -116,6 +133,7 @@
 {
     constexpr std::string_view blankLine = "\r\n\r\n";
     m_requestBytes += size;
+    const std::size_t held = m_heldBytes += size;
     for (std::size_t index = 0; index < size && !m_headerEnded; ++index) {
         if (bytes[index] == blankLine[m_blankLine]) {
             m_headerEnded = ++m_blankLine == blankLine.size();
@@ -126,7 +144,10 @@
     const std::size_t bound =
         m_headerEnded ? m_limits.headerBytes + m_limits.bodyBytes + framingBytes : m_limits.headerBytes;
     m_overflowed = m_overflowed || m_requestBytes > bound;
-    return !m_overflowed;
+    m_overBudget = m_overBudget
+        || (held > m_limits.heldBytes
+            && m_requestBytes > m_limits.heldBytes / std::max<std::size_t>(m_limits.connections, 1));
+    return !m_overflowed && !m_overBudget;
 }
 
 bool SocketStream::is_readable() const
@@ -141,8 +162,9 @@
 
 ssize_t SocketStream::read(char *bytes, size_t size)
 {
-    if (m_overflowed || (m_position == m_filled && !fill(timeLeft()))) {
-        return m_overflowed ? -1 : 0;
+    const bool isRefused = m_overflowed || m_overBudget;
+    if (isRefused || (m_position == m_filled && !fill(timeLeft()))) {
+        return isRefused ? -1 : 0;
     }
     const std::size_t taken = std::min(size, m_filled - m_position);
     std::memcpy(bytes, m_buffer.data() + m_position, taken);
@@ -172,6 +194,8 @@
 
 void SocketStream::finish()
 {
+    // The request is gone, whatever the other end still sends.
+    releaseRequest();
     shutdown(m_socket, SHUT_WR);
     const auto until = std::chrono::steady_clock::now() + finishTime;
     while (std::chrono::steady_clock::now() < until) {
--- a/src/currantringd/socketstream.h
+++ b/src/currantringd/socketstream.h
@@ -2,6 +2,7 @@
 
 #include "units.h"
 
+#include <atomic>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -26,6 +27,11 @@
     /** How long a kept-alive connection may be idle. */
     Milliseconds idleTime { 2000 };
     std::size_t requestsPerConnection = 1000;
+    /**
+     * Bytes of the requests of all connections together. Beyond it a request that is larger than an even share of it
+     * is refused, so that small requests are served beside clients that hold large ones.
+     */
+    std::size_t heldBytes = 33'554'432;
 };
 
 /**
@@ -37,8 +43,14 @@
 class SocketStream : public httplib::Stream
 {
 public:
-    /** Precondition: @p socket is connected, stays owned by the caller, and @p limits outlives the stream. */
-    SocketStream(int socket, const ConnectionLimits &limits);
+    /**
+     * @p heldBytes sums up the requests of all connections. Precondition: @p socket is connected, stays owned by the
+     * caller, and @p limits and @p heldBytes outlive the stream.
+     */
+    SocketStream(int socket, const ConnectionLimits &limits, std::atomic<std::size_t> &heldBytes);
+    ~SocketStream() override;
+    SocketStream(const SocketStream &) = delete;
+    SocketStream &operator=(const SocketStream &) = delete;
 
     /**
      * Waits until a request begins, and resets the bounds for it. False when the connection was closed, stayed idle
@@ -47,6 +59,8 @@
     [[nodiscard]] bool awaitRequest(Milliseconds time, int stopEvent);
     /** Whether the request was larger than the bounds. */
     [[nodiscard]] bool isOverflowed() const;
+    /** Whether the request was refused since all connections together held too much. */
+    [[nodiscard]] bool isOverBudget() const;
     /** Whether the connection can't be used for a further request. */
     [[nodiscard]] bool isBroken() const;
     /** Ends the sending side, and takes in what the caller still sends for a short time so that it sees the answer. */
@@ -61,12 +75,14 @@
     [[nodiscard]] socket_t socket() const override;
 
 private:
+    void releaseRequest();
     bool fill(Milliseconds time);
     bool takeIntoAccount(const char *bytes, std::size_t size);
     [[nodiscard]] Milliseconds timeLeft() const;
 
     const int m_socket;
     const ConnectionLimits &m_limits;
+    std::atomic<std::size_t> &m_heldBytes;
     std::vector<char> m_buffer;
     std::size_t m_position = 0;
     std::size_t m_filled = 0;
@@ -76,6 +92,7 @@
     std::size_t m_blankLine = 0;
     bool m_headerEnded = false;
     bool m_overflowed = false;
+    bool m_overBudget = false;
     bool m_broken = false;
 };
 
--- a/src/libpeer/http2session.cpp
+++ b/src/libpeer/http2session.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint32_t streamWindowBytes = 262'144;
 constexpr std::int32_t connectionWindowBytes = 2'000'000;
 constexpr std::uint32_t maximumHeaderBytes = 4096;
-constexpr std::size_t maximumHostIdBytes = 256;
+constexpr std::size_t maximumHeldValueBytes = 256;
 
 constexpr std::string_view messagePath = "/v1/messages";
 constexpr std::string_view senderHeader = "currantring-host";
@@ -221,14 +221,15 @@
         return;
     }
     const auto incoming = m_incoming.find(stream);
-    if (incoming == m_incoming.end()) {
+    // A longer value is none that is taken, and mustn't be held for each of many streams.
+    if (incoming == m_incoming.end() || value.size() > maximumHeldValueBytes) {
         return;
     }
     if (name == ":method") {
         incoming->second.method = value;
     } else if (name == ":path") {
         incoming->second.path = value;
-    } else if (name == senderHeader && value.size() <= maximumHostIdBytes) {
+    } else if (name == senderHeader) {
         incoming->second.sender = HostId(std::string(value));
     }
 }
--- a/tests/currantringd/testlimitedserver.cpp
+++ b/tests/currantringd/testlimitedserver.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <future>
 #include <optional>
+#include <thread>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -92,6 +93,15 @@
     {
         return m_port;
     }
+    /** Waits until the server holds @p bytes of requests. */
+    [[nodiscard]] bool awaitHeld(std::size_t bytes) const
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::minutes(1);
+        while (m_server.heldBytes() < bytes && std::chrono::steady_clock::now() < end) {
+            std::this_thread::yield();
+        }
+        return m_server.heldBytes() >= bytes;
+    }
     [[nodiscard]] int refused() const
     {
         return m_refused;
@@ -185,6 +195,39 @@
     BOOST_TEST(answer.find("200 OK") == std::string::npos);
 }
 
+/** Unfinished large requests on all connections held as many times the largest body; small requests go on beside them.
+ */
+BOOST_AUTO_TEST_CASE(largeRequestsBeyondTheBudgetOfAllConnectionsAreRefused)
+{
+    ConnectionLimits limits = smallLimits();
+    limits.connections = 4;
+    limits.bodyBytes = 10'000;
+    limits.heldBytes = 8192;
+    EchoServer server(limits);
+    const std::string body(7000, 'x');
+    {
+        const Connection first(server.port());
+        const std::string request = post(body);
+        first.send(request.substr(0, request.size() - 1));
+        BOOST_REQUIRE(server.awaitHeld(body.size()));
+        const Connection second(server.port());
+        second.send(post(body));
+        BOOST_TEST(second.readAll().find("200 OK") == std::string::npos);
+        const Connection small(server.port());
+        small.send(post("small"));
+        BOOST_TEST(small.readUntil("[small]").find("200 OK") != std::string::npos);
+        first.send("x");
+        BOOST_TEST(first.readUntil("[" + body + "]").find("200 OK") != std::string::npos);
+        // A kept connection without a request holds nothing.
+        const Connection next(server.port());
+        next.send(post("next"));
+        BOOST_TEST(next.readUntil("[next]").find("200 OK") != std::string::npos);
+    }
+    const Connection last(server.port());
+    last.send(post(body));
+    BOOST_TEST(last.readUntil("[" + body + "]").find("200 OK") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(aRequestThatIsNeverWholeLosesItsConnection)
 {
     ConnectionLimits limits = smallLimits();
