Start the clients of the process tests once the process listens

Cause: the start waited for a line in the log, and could take that of the process before, so that the clients of a case found nobody and the case passed without a trial (trailer-value and silence in one run of 19 cases, half-body on the readiness port in another). Change: the log is removed before each start, and a case fails when its clients sent nothing (silence sends nothing). Clients and bounds are as before.

--- a/tests/processes/endless-clients-daemon.sh
+++ b/tests/processes/endless-clients-daemon.sh
@@ -30,6 +30,8 @@
         wrong="more than $memory_kb kB"
     elif [ "$open" -gt "$descriptors" ]; then
         wrong="more than $descriptors descriptors"
+    elif [ "$name" != silence ] && grep -q ' sent 0 bytes' "$work/client"; then
+        wrong="no client reached it"
     elif ! until_true 60 call_is_served a "after-$name"; then
         wrong="no service afterwards"
     fi
--- a/tests/processes/endless-clients.sh
+++ b/tests/processes/endless-clients.sh
@@ -39,10 +39,12 @@
 maxFds = $descriptors
 [bounds]
 END
+    # The line of the process before mustn't be taken for that of this one.
+    rm -f "$work/log"
     "$bin/currantring-sited" --charts charts --boot "$work/boot.toml" --metrics-port $((base + 8)) >"$work/log" 2>&1 &
     pid=$!
     for _ in $(seq 100); do
-        ! grep -q 'event=process_started' "$work/log" || return 0
+        ! grep -qs 'event=process_started' "$work/log" || return 0
         sleep 0.1
     done
     return 1
@@ -106,6 +108,8 @@
         wrong="more than $memory_mb MB"
     elif [ "$open" -gt "$descriptors" ]; then
         wrong="more than $descriptors descriptors"
+    elif [ "$name" != silence ] && grep -q ' sent 0 bytes' "$work/client"; then
+        wrong="no client reached it"
     elif ! answers "http://$callers/" || ! answers "http://$readiness/" || ! answers "http://$metrics/metrics"; then
         wrong="no answer afterwards"
     fi
--- a/tests/processes/hostileclient.cpp
+++ b/tests/processes/hostileclient.cpp
@@ -231,6 +231,7 @@
     }
     address.sin_port = htons(port);
     std::vector<std::unique_ptr<Connection>> connections;
+    connections.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         connections.push_back(std::make_unique<Connection>(address, known.at(words[1]), bytes, rounds));
     }
