--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -59,5 +59,6 @@
 inline constexpr std::string_view runLost = "run_lost";
 inline constexpr std::string_view runPaced = "run_paced";
 inline constexpr std::string_view runMoved = "run_moved";
+inline constexpr std::string_view rackWaitDecided = "rack_wait_decided";
 
 } // namespace currantring::events
