Place steps by the expected cost of a wait for their rack

Cause: with a rack that stays full, each step that named it lost its estimate before it ran elsewhere. Change: where settings have farX, RunStarter places a step's tasks on its rack while there is room, lets as many wait as RackWaits tells, and places the others elsewhere; gangs and the demand for admission tickets likewise. Lasting steps don't wait, as a run without an end gains nothing. Without farX the former rule and its code path stay. The functions are in runstarterracks.cpp. Measured: a job of 1.5 s that names a rack full of lasting runs starts within 0.5 s, with the former rule after 1.4 s or more (testrackplacing.cpp).

--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -277,6 +277,7 @@
     options.confirmationTerm = confirmationTerm;
     options.support = { unsupportedTerm, supportTerm };
     options.inherited = inherited;
+    options.farFactor = m_options.farFactor;
     JobLogLimits logLimits;
     logLimits.valueBytes = m_options.storeValueBytes;
     m_writer = std::make_unique<JobWriter>(
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -28,6 +28,8 @@
     Milliseconds shortestStoreLease { 1000 };
     /** Largest value that the store takes. */
     std::size_t storeValueBytes = 1'000'000;
+    /** By how much a task's run time grows on another rack than its own; nullopt when the site doesn't tell. */
+    std::optional<double> farFactor;
 };
 
 /**
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -54,7 +54,7 @@
     , m_interference(m_neighbours)
     , m_pacer(m_neighbours)
     , m_placer(m_fleet, m_interference, m_health)
-    , m_starter({ m_log, m_context, m_fleet, m_placer, m_health, m_queues },
+    , m_starter({ m_log, m_context, m_fleet, m_placer, m_health, m_queues, m_options.farFactor },
                 [this](const WorkerId &worker, const LiveRun &run, std::string_view reason) {
                     handleRunLoss(worker, run, reason);
                 })
@@ -288,6 +288,7 @@
                     { "after_ms", std::to_string((m_context.now() - run.placedAt).count()) } });
     updateHealth(worker, run, end);
     m_neighbours.recordFillerEnd(*m_fleet.find(worker), run, m_context.now());
+    m_starter.noteEnd(*m_fleet.find(worker), run);
     recordEnd(run, toRunEnd(end), checkpoint);
 }
 
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace currantring {
@@ -39,6 +40,8 @@
         Milliseconds confirmationTerm {};
         /** What it needs of the other hosts for that. */
         HostSupport support;
+        /** By how much a task's run time grows on another rack than its own; nullopt: waits for racks are fixed. */
+        std::optional<double> farFactor;
     };
     struct Handlers
     {
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/** Bounds of the time that a task waits for its preferred rack, which otherwise equals its estimate. */
+/** Where the cost of running elsewhere isn't known: bounds of the wait for a rack, which otherwise is the estimate. */
 constexpr Milliseconds minRackWait { 300 };
 constexpr Milliseconds maxRackWait { 3000 };
 /** Minimum time between passes; tasks that become ready in between are placed in one batch. */
@@ -29,6 +29,9 @@
     , m_onLoss(std::move(onLoss))
     , m_admission(parts.context, [this] { requestPass(); })
 {
+    if (parts.farFactor) {
+        m_rackWaits.emplace(*parts.farFactor, parts.fleet, parts.context);
+    }
 }
 
 void RunStarter::open(const TaskRef &task, const Job &job)
@@ -41,6 +44,9 @@
 {
     m_ready.removeJob(job);
     m_admission.forgetJob(job);
+    if (m_rackWaits) {
+        m_rackWaits->forgetJob(job);
+    }
 }
 
 void RunStarter::withdraw(const TaskRef &task)
@@ -52,6 +58,9 @@
 {
     m_ready.removeStep(step);
     m_admission.forgetStep(step);
+    if (m_rackWaits) {
+        m_rackWaits->forgetStep(step);
+    }
 }
 
 void RunStarter::dropTicket(const RunRef &run, const WorkerId &worker)
@@ -72,7 +81,8 @@
 
 std::size_t RunStarter::trackedSteps() const
 {
-    return m_ready.steps().size() + m_admission.trackedSteps();
+    const std::size_t decided = m_rackWaits ? m_rackWaits->trackedSteps() : 0;
+    return m_ready.steps().size() + m_admission.trackedSteps() + decided;
 }
 
 void RunStarter::requestPass()
@@ -94,12 +104,19 @@
     }
     m_lastPass = m_parts.context.now();
     m_noRoom.clear();
+    if (m_rackWaits) {
+        m_rackWaits->beginPass();
+    }
     placeAnswered();
+    if (m_rackWaits) {
+        m_rackWaits->beginOrder();
+    }
     m_waitingForTickets.clear();
     for (const StepRef &step : stepsByUrgency()) {
         placeStep(step);
     }
     askAdmission();
+    lookAgainForRacks();
 }
 
 /** The steps that may be placed, or that tickets may be requested for now, in order of urgency. */
@@ -172,7 +189,7 @@
 }
 
 /** Nullopt when no request can lead to a start at present. */
-std::optional<AdmissionDemand> RunStarter::admissionDemand(const StepRef &step, const ReadyStep &ready) const
+std::optional<AdmissionDemand> RunStarter::admissionDemand(const StepRef &step, const ReadyStep &ready)
 {
     const QueueEntry &queue = *m_parts.queues.find(ready.queue);
     std::optional<PlacementRequest> request = requestFor({ step, *ready.tasks.begin() }, *ready.step, ready.queue);
@@ -185,8 +202,7 @@
         const std::vector<Label> racks = m_parts.placer.racks(request->service);
         request->rack = racks.empty() ? Label() : racks.front();
     }
-    const bool waitsForRack = !ready.step->isGang && isWaitingForRack(ready, request->rack);
-    request->isRackNeeded = waitsForRack;
+    request->isRackNeeded = !ready.step->isGang && wantsOnlyRack(step, ready, request->rack);
     std::size_t admittedRoom = 0;
     if (ready.step->isGang) {
         requireTicket(step, queue, *request);
@@ -318,17 +334,30 @@
         waitForTickets(step, *queue);
         return;
     }
+    const std::size_t unplaced =
+        m_rackWaits ? placeByRackPolicy(step, ready) : placeEach(step, ready, RackUse::FixedWait, ready.tasks.size());
+    if (unplaced > 0) {
+        waitForTickets(step, *queue);
+    }
+}
+
+/** Places up to @p maxCount of the tasks one by one; returns how many found no worker before it gave up. */
+std::size_t RunStarter::placeEach(const StepRef &step, const ReadyStep &ready, RackUse use, std::size_t maxCount)
+{
+    const QueueEntry &queue = *m_parts.queues.find(ready.queue);
     std::optional<WorkerCostTable> costs;
     std::size_t unplaced = 0;
+    std::size_t placed = 0;
     for (const std::uint32_t index : ready.tasks) {
         const TaskRef task { step, index };
         std::optional<PlacementRequest> request = requestFor(task, *ready.step, ready.queue);
-        if (!request) {
-            return;
+        if (!request || placed == maxCount) {
+            break;
         }
-        requireTicket(step, *queue, *request);
+        requireTicket(step, queue, *request);
         request->rack = rackOf(step, *ready.step);
-        request->isRackNeeded = isWaitingForRack(ready, request->rack);
+        request->isRackNeeded = use == RackUse::FixedWait ? isWaitingForRack(ready, request->rack)
+                                                          : use == RackUse::OnlyThere && !request->rack.value().empty();
         WorkerLink *const link = choose(*request, costs);
         if (link == nullptr) {
             ++unplaced;
@@ -339,13 +368,12 @@
         }
         const Assignment assignment { task, link, RunNumber(this->task(task).lastRun.value() + 1) };
         record(assignment, reserve(assignment, ready));
+        ++placed;
         if (costs) {
             costs->update(*link);
         }
     }
-    if (unplaced > 0) {
-        waitForTickets(step, *queue);
-    }
+    return unplaced;
 }
 
 /** Whether a task of the same step without constraints of its own finds a place where the task of @p request doesn't.
@@ -375,7 +403,7 @@
         link = m_parts.placer.choose(request, m_parts.context.now());
     }
     if (link == nullptr) {
-        m_noRoom.recordNoRoom(request);
+        noteNoRoom(request);
     }
     return link;
 }
@@ -407,7 +435,7 @@
         }
     }
     const bool maySpanRacks = dataRack.value().empty() && !ready.step->wantsOneRack;
-    const bool mayWait = !maySpanRacks && mayWaitForRack(ready);
+    const bool mayWait = !maySpanRacks && mayGangWait(step, ready);
     if (mayWait || !placeGangOn(step, ready, {})) {
         waitForTickets(step, queue);
     }
@@ -457,6 +485,7 @@
 {
     const WorkerId worker = assignment.link->entry().id;
     m_ready.remove(assignment.task);
+    notePlacedOnRack(assignment.task.step, *run.step, *assignment.link);
     m_parts.context.log(LogLevel::Info, events::runPlaced,
                         { { "task", describe(assignment.task) },
                           { "run", std::to_string(run.ref.number.value()) },
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -5,6 +5,7 @@
 #include "joburgency.h"
 #include "noroomcache.h"
 #include "queueregistry.h"
+#include "rackwaits.h"
 #include "readysteps.h"
 #include "runplacer.h"
 
@@ -32,6 +33,8 @@
         const RunPlacer &placer;
         const WorkerHealth &health;
         const QueueRegistry &queues;
+        /** By how much a task's run time grows on another rack than its own; nullopt when that isn't known. */
+        std::optional<double> farFactor;
     };
     /** Called when a placed run is dropped before its start was sent. */
     using LossHandler = std::function<void(const WorkerId &worker, const LiveRun &run, std::string_view reason)>;
@@ -48,13 +51,15 @@
     void forgetJob(const JobId &job);
     /** Schedules a placement pass over the waiting tasks. */
     void requestPass();
+    /** A run has ended at the worker, and its capacity has come free. */
+    void noteEnd(const WorkerLink &link, const LiveRun &run);
     /** Discards the admission ticket of a worker that refused the run. */
     void dropTicket(const RunRef &run, const WorkerId &worker);
     /** Whether the task is waiting for placement. */
     [[nodiscard]] bool isOpen(const TaskRef &task) const;
     /** Number of the job's tasks that wait for a worker. */
     [[nodiscard]] std::size_t waitingTasks(const JobId &job) const;
-    /** Number of steps that tasks wait of, or that tickets are kept for. */
+    /** Number of steps that tasks wait of, or that tickets or decisions are kept for. */
     [[nodiscard]] std::size_t trackedSteps() const;
     /** The placement request of a task; nullopt when its queue or job is unknown. */
     [[nodiscard]] std::optional<PlacementRequest> requestFor(const TaskRef &task, const StepSpec &step,
@@ -68,10 +73,20 @@
         RunNumber number;
     };
 
+    /** How tasks with a preferred rack are placed. */
+    enum class RackUse {
+        /** On the rack until the step has waited for a fixed time. */
+        FixedWait,
+        OnlyThere,
+        Preferred,
+    };
+
     void pass();
     [[nodiscard]] std::vector<StepRef> stepsByUrgency() const;
     void placeStep(const StepRef &step);
     void placeTasks(const StepRef &step, const ReadyStep &ready);
+    std::size_t placeEach(const StepRef &step, const ReadyStep &ready, RackUse use, std::size_t maxCount);
+    std::size_t placeByRackPolicy(const StepRef &step, const ReadyStep &ready);
     bool hasPlaceForOthers(PlacementRequest request, std::optional<WorkerCostTable> &costs);
     WorkerLink *choose(const PlacementRequest &request, std::optional<WorkerCostTable> &costs);
     void placeGang(const StepRef &step, const ReadyStep &ready);
@@ -81,9 +96,16 @@
     void waitForTickets(const StepRef &step, const QueueEntry &queue);
     void placeAnswered();
     void askAdmission();
-    [[nodiscard]] std::optional<AdmissionDemand> admissionDemand(const StepRef &step, const ReadyStep &ready) const;
+    [[nodiscard]] std::optional<AdmissionDemand> admissionDemand(const StepRef &step, const ReadyStep &ready);
     [[nodiscard]] bool mayWaitForRack(const ReadyStep &ready) const;
     [[nodiscard]] bool isWaitingForRack(const ReadyStep &ready, const Label &rack) const;
+    [[nodiscard]] bool wantsOnlyRack(const StepRef &step, const ReadyStep &ready, const Label &rack);
+    [[nodiscard]] bool mayGangWait(const StepRef &step, const ReadyStep &ready);
+    [[nodiscard]] RackCandidate rackCandidate(const StepRef &step, const ReadyStep &ready,
+                                              std::vector<Label> racks) const;
+    void noteNoRoom(const PlacementRequest &request);
+    void notePlacedOnRack(const StepRef &step, const StepSpec &spec, const WorkerLink &link);
+    void lookAgainForRacks();
     [[nodiscard]] std::size_t waitingTasksOf(const StepRef &step) const;
     [[nodiscard]] std::string_view obstacleToStart(const TaskRef &task, const Job &job, const WorkerLink &link,
                                                    const std::string &ticket) const;
@@ -103,6 +125,9 @@
     /** Steps that the present pass couldn't place completely and that need tickets, in order of urgency. */
     std::vector<StepRef> m_waitingForTickets;
     bool m_isRetryScheduled = false;
+    /** Decides on waits for racks where the cost of running elsewhere is known. */
+    std::optional<RackWaits> m_rackWaits;
+    bool m_isRackRetryScheduled = false;
     /** Valid within one pass. */
     NoRoomCache m_noRoom;
     bool m_passRequested = false;
--- /dev/null
+++ b/src/libjobs/runstarterracks.cpp
@@ -0,0 +1,120 @@
+// The part of RunStarter that places steps by RackWaits.
+
+#include "runstarter.h"
+
+#include <utility>
+
+namespace currantring {
+
+namespace {
+
+/** Interval at which steps that wait for a rack are looked at again when nothing else happens. */
+constexpr Milliseconds rackRetryInterval { 50 };
+
+} // namespace
+
+void RunStarter::noteEnd(const WorkerLink &link, const LiveRun &run)
+{
+    if (m_rackWaits) {
+        m_rackWaits->noteEnd(link, run);
+    }
+}
+
+/** Whether a step that isn't a gang is placed on no other rack at present. */
+bool RunStarter::wantsOnlyRack(const StepRef &step, const ReadyStep &ready, const Label &rack)
+{
+    if (!m_rackWaits) {
+        return isWaitingForRack(ready, rack);
+    }
+    return !rack.value().empty() && m_rackWaits->wantsOnlyRack(rackCandidate(step, ready, { rack }));
+}
+
+/** Whether a gang that wants one rack, and found no room on any, waits for one. */
+bool RunStarter::mayGangWait(const StepRef &step, const ReadyStep &ready)
+{
+    if (!m_rackWaits) {
+        return mayWaitForRack(ready);
+    }
+    const Label dataRack = ready.step->dataRack;
+    const QueueEntry &queue = *m_parts.queues.find(ready.queue);
+    std::vector<Label> racks { dataRack };
+    if (dataRack.value().empty()) {
+        racks = m_parts.placer.racks(queue.service);
+    }
+    return m_rackWaits->decide(rackCandidate(step, ready, std::move(racks))) > 0;
+}
+
+/** Precondition: the step's job and queue are known. */
+RackCandidate RunStarter::rackCandidate(const StepRef &step, const ReadyStep &ready, std::vector<Label> racks) const
+{
+    const QueueEntry &queue = *m_parts.queues.find(ready.queue);
+    const Job &job = *m_parts.log.table().find(step.job);
+    RackCandidate candidate { step, *ready.step, queue.service, std::move(racks), ready.tasks.size(), {}, {} };
+    candidate.waited = m_parts.context.now() - ready.since;
+    if (!ready.step->isLasting) {
+        candidate.slack = slackToObjective(job, step.occurrence, queue, m_parts.context.wallNow());
+    }
+    return candidate;
+}
+
+/** Looks at the steps that wait for a rack again soon, as a wait may have to end though nothing happens. */
+void RunStarter::lookAgainForRacks()
+{
+    if (m_rackWaits && m_rackWaits->hasWaiting() && !std::exchange(m_isRackRetryScheduled, true)) {
+        m_parts.context.schedule(rackRetryInterval, m_lifetime.guard([this] {
+            m_isRackRetryScheduled = false;
+            requestPass();
+        }));
+    }
+}
+
+/**
+ * Places tasks on the step's rack while there is room, lets as many wait for it as is worthwhile, and places the others
+ * elsewhere; returns how many are left.
+ */
+std::size_t RunStarter::placeByRackPolicy(const StepRef &step, const ReadyStep &ready)
+{
+    if (ready.step->isLasting || (ready.step->dataRack.value().empty() && !ready.step->wantsOneRack)) {
+        return placeEach(step, ready, RackUse::Preferred, ready.tasks.size());
+    }
+    const Label first = rackOf(step, *ready.step);
+    if (first.value().empty() || !m_rackWaits->isFull(*ready.step, first)) {
+        placeEach(step, ready, RackUse::OnlyThere, ready.tasks.size());
+    }
+    const auto rest = m_ready.steps().find(step);
+    if (rest == m_ready.steps().end()) {
+        return 0;
+    }
+    const ReadyStep left = rest->second;
+    const Label rack = rackOf(step, *ready.step);
+    const std::size_t waiting = rack.value().empty() ? 0 : m_rackWaits->decide(rackCandidate(step, left, { rack }));
+    if (waiting < left.tasks.size()) {
+        placeEach(step, left, RackUse::Preferred, left.tasks.size() - waiting);
+    }
+    const std::size_t unplaced = waitingTasksOf(step);
+    m_rackWaits->addWaiting(rack, *ready.step, unplaced);
+    return unplaced;
+}
+
+void RunStarter::noteNoRoom(const PlacementRequest &request)
+{
+    m_noRoom.recordNoRoom(request);
+    // Only what any worker may take tells that capacity is short.
+    if (m_rackWaits && m_noRoom.isKnownNotToFit(request)) {
+        m_rackWaits->noteShortage(request.step);
+    }
+}
+
+/** Precondition: the placement isn't recorded yet. */
+void RunStarter::notePlacedOnRack(const StepRef &step, const StepSpec &spec, const WorkerLink &link)
+{
+    if (!m_rackWaits || spec.isLasting) {
+        return;
+    }
+    const Label rack = rackOf(step, spec);
+    // The first task of a step that wants one rack determines it.
+    const bool isFirst = rack.value().empty() && spec.wantsOneRack;
+    m_rackWaits->notePlaced(step, isFirst ? link.entry().rack : rack, link);
+}
+
+} // namespace currantring
--- /dev/null
+++ b/tests/libjobs/testrackplacing.cpp
@@ -0,0 +1,134 @@
+#include "jobevents.h"
+#include "virtualjobs.h"
+#include "virtualsite.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace currantring;
+
+namespace {
+
+/** A job that takes all processors of the three workers of the rack r0. */
+JobSpec fullRack(std::uint64_t number, bool isLasting, Milliseconds work)
+{
+    JobSpec spec = isLasting ? lastingJob(number, 3) : batchJob(number, 1, 3, work);
+    spec.steps.front().need.processors = Millicores(8000);
+    spec.steps.front().requiredLabel = Label("r0");
+    return spec;
+}
+
+/** A job of one task that runs faster on the rack r0. */
+JobSpec nearJob(std::uint64_t number, Milliseconds work)
+{
+    JobSpec spec = batchJob(number, 1, 1, work);
+    spec.steps.front().dataRack = Label("r0");
+    return spec;
+}
+
+Milliseconds timeUntilRunning(VirtualSite &site, const JobId &job)
+{
+    const TimePoint since = site.now();
+    const TaskRef first { { job, 0, 0 }, 0 };
+    BOOST_TEST(site.runUntil([&site, &first] { return site.isRunning(first); }, Milliseconds(10'000)));
+    return site.now() - since;
+}
+
+bool runsOnNearRack(VirtualSite &site, const JobSpec &spec)
+{
+    const std::vector<WorkerId> workers = site.workers();
+    return std::ranges::any_of(workers, [&site, &spec](const WorkerId &worker) {
+        return site.worker(worker).runs({ { spec.id, 0, 0 }, 0 })
+            && site.worker(worker).entry().hasLabel(spec.steps.front().dataRack);
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RackPlacing)
+
+/** A job waited for its estimate, 1.5 s, for a rack that only lasting runs are on. */
+BOOST_AUTO_TEST_CASE(stepDoesNotWaitForARackThatStaysFull)
+{
+    for (const auto &[farFactor, soonest, latest] :
+         { std::tuple(std::optional<double>(), Milliseconds(1400), Milliseconds(2500)),
+           std::tuple(std::optional<double>(2), Milliseconds(0), Milliseconds(500)) }) {
+        VirtualSite site({ .farFactor = farFactor });
+        site.run(Milliseconds(1500));
+        BOOST_REQUIRE(site.submit(fullRack(1, true, Milliseconds(0))));
+        site.run(Milliseconds(500));
+        const JobSpec wanting = nearJob(2, Milliseconds(1500));
+        BOOST_REQUIRE(site.submit(wanting));
+        const Milliseconds wait = timeUntilRunning(site, wanting.id);
+        BOOST_TEST(wait.count() >= soonest.count());
+        BOOST_TEST(wait.count() <= latest.count());
+        BOOST_TEST(site.logCount(events::rackWaitDecided) == (farFactor ? 1U : 0U));
+        BOOST_TEST(!runsOnNearRack(site, wanting));
+    }
+}
+
+/** A step that is expected to get a place soon must not run elsewhere for twice as long. */
+BOOST_AUTO_TEST_CASE(stepWaitsForARackThatSoonHasRoom)
+{
+    VirtualSite site({ .farFactor = 2 });
+    site.run(Milliseconds(1500));
+    BOOST_REQUIRE(site.submit(fullRack(1, false, Milliseconds(500))));
+    site.run(Milliseconds(200));
+    const JobSpec wanting = nearJob(2, Milliseconds(2500));
+    BOOST_REQUIRE(site.submit(wanting));
+    BOOST_TEST(timeUntilRunning(site, wanting.id).count() <= 1000);
+    BOOST_TEST(site.logCount(events::rackWaitDecided) == 1U);
+    BOOST_TEST(runsOnNearRack(site, wanting));
+}
+
+/** A rack that doesn't exist, or whose workers are gone or drain, must not hold up a step; nor must a late job wait. */
+BOOST_AUTO_TEST_CASE(stepDoesNotWaitForARackWithoutWorkers)
+{
+    for (const bool isUnknown : { true, false }) {
+        VirtualSite site({ .farFactor = 2 });
+        site.run(Milliseconds(1500));
+        for (const char *const worker : { "w0", "w1", "w2" }) {
+            site.drainWorker(WorkerId(worker), Milliseconds(60'000));
+        }
+        site.run(Milliseconds(1500));
+        JobSpec wanting = nearJob(2, Milliseconds(1500));
+        wanting.steps.front().dataRack = Label(isUnknown ? "r77" : "r0");
+        BOOST_REQUIRE(site.submit(wanting));
+        BOOST_TEST(timeUntilRunning(site, wanting.id).count() <= 500);
+    }
+}
+
+/** The members of a gang that no rack is large enough for waited 3 s. */
+BOOST_AUTO_TEST_CASE(gangWiderThanAnyRackRunsAtOnce)
+{
+    VirtualSite site({ .farFactor = 2 });
+    site.run(Milliseconds(1500));
+    JobSpec gang = gangJob(1, 5);
+    gang.steps.front().wantsOneRack = true;
+    gang.steps.front().need.processors = Millicores(8000);
+    gang.steps.front().estimate = Milliseconds(3000);
+    BOOST_REQUIRE(site.submit(gang));
+    BOOST_TEST(timeUntilRunning(site, gang.id).count() <= 500);
+}
+
+/** What is kept for decisions must leave with the jobs, or the writer's memory grows without bound. */
+BOOST_AUTO_TEST_CASE(decisionsAreForgottenWithTheirJobs)
+{
+    VirtualSite site({ .farFactor = 2 });
+    site.run(Milliseconds(1500));
+    for (std::uint64_t number = 1; number <= 6; ++number) {
+        JobSpec wanting = nearJob(number, Milliseconds(400));
+        wanting.steps.front().count = 10;
+        BOOST_REQUIRE(site.submit(wanting));
+    }
+    const auto isSettled = [&site] {
+        return site.trackedWork() == std::size_t(0);
+    };
+    BOOST_TEST(!isSettled());
+    BOOST_TEST(site.runUntil(isSettled, Milliseconds(30'000)));
+    BOOST_TEST(site.logCount(events::rackWaitDecided) > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libjobs/virtualsite.cpp
+++ b/tests/libjobs/virtualsite.cpp
@@ -123,6 +123,7 @@
     options.processors = host.processors;
     options.nonce = m_random();
     options.storeValueBytes = m_options.valueBytes;
+    options.farFactor = m_options.farFactor;
     host.node = std::make_unique<JobNode>(
         options, testFormats(m_configuration, [this](const std::string &id) { return entryOf(WorkerId(id)); }),
         *host.context);
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -34,6 +35,8 @@
     std::size_t listedEnds = 2;
     /** Largest value that the store takes. */
     std::size_t valueBytes = 16'384;
+    /** See JobNodeOptions::farFactor. */
+    std::optional<double> farFactor = std::nullopt;
     VirtualAdmissionOptions admission { .admits = admitsTwoThirds };
 };
 
