Read the runs on a rack every 100 ms only

Cause: each pass read all runs on each rack that a step waits for. Change: RackWaits keeps what the runs tell for 100 ms; what lasting runs hold is summed in ReservedResources.

--- a/src/libjobs/racksurvey.cpp
+++ b/src/libjobs/racksurvey.cpp
@@ -60,9 +60,9 @@
                                     std::size_t maxCount)
 {
     std::size_t tasks = 0;
-    for (const Worker &worker : read(rack).workers) {
-        if (isOpenTo(worker.link->entry(), step, service)) {
-            tasks += placesIn(worker.forBatch, step, maxCount);
+    for (const WorkerLink *const worker : read(rack).workers) {
+        if (isOpenTo(worker->entry(), step, service)) {
+            tasks += placesIn(worker->entry().capacity - worker->reservedResources().heldByLasting(), step, maxCount);
         }
         if (tasks >= maxCount) {
             return maxCount;
@@ -75,9 +75,9 @@
 {
     std::size_t places = 0;
     if (!step.isFiller) {
-        for (const Worker &worker : read(rack).workers) {
-            const Resources free = worker.link->entry().capacity - worker.link->reservedResources().held();
-            places += isOpenTo(worker.link->entry(), step, service) ? placesIn(free, step, step.count) : 0;
+        for (const WorkerLink *const worker : read(rack).workers) {
+            const Resources free = worker->entry().capacity - worker->reservedResources().held();
+            places += isOpenTo(worker->entry(), step, service) ? placesIn(free, step, step.count) : 0;
         }
     }
     return places;
@@ -89,10 +89,22 @@
     return known.workers.empty() || !known.mostFree.covers(countedNeed(step));
 }
 
-CapacitySum RackSurvey::expectedRate(const Label &rack, bool isFiller)
+ExpectedEnds RackSurvey::expectedEnds(const Label &rack)
 {
-    const Rack &known = read(rack);
-    return isFiller ? known.expectedOfFillers : known.expected;
+    ExpectedEnds expected;
+    for (const WorkerLink *const worker : read(rack).workers) {
+        for (const auto &[ref, run] : worker->runs()) {
+            if (!run.step || run.step->isLasting) {
+                continue;
+            }
+            const Milliseconds estimate = run.step->estimate;
+            if (estimate.count() > 0 && m_now - run.placedAt < overdueFactor * estimate) {
+                CapacitySum &sum = run.step->isFiller ? expected.ofFillers : expected.ofOthers;
+                sum.add(run.step->need, 1 / static_cast<double>(estimate.count()));
+            }
+        }
+    }
+    return expected;
 }
 
 Resources RackSurvey::scarceNeed(const StepSpec &step, const Label &rack)
@@ -118,41 +130,15 @@
     if (isNew && !rack.value().empty()) {
         for (const auto &[id, link] : m_fleet.links()) {
             if (link->entry().rack == rack && m_fleet.isSchedulable(*link)) {
-                addWorker(found->second, *link);
+                const Resources free = link->entry().capacity - link->reservedResources().held();
+                raise(found->second.mostFree.processors, free.processors);
+                raise(found->second.mostFree.memory, free.memory);
+                raise(found->second.mostFree.accelerators, free.accelerators);
+                found->second.workers.push_back(link.get());
             }
         }
     }
     return found->second;
 }
 
-void RackSurvey::addWorker(Rack &rack, const WorkerLink &link) const
-{
-    const Resources &capacity = link.entry().capacity;
-    const Resources free = capacity - link.reservedResources().held();
-    raise(rack.mostFree.processors, free.processors);
-    raise(rack.mostFree.memory, free.memory);
-    raise(rack.mostFree.accelerators, free.accelerators);
-    Worker worker { &link, capacity };
-    for (const auto &[ref, run] : link.runs()) {
-        addRun(rack, worker, run);
-    }
-    rack.workers.push_back(worker);
-}
-
-void RackSurvey::addRun(Rack &rack, Worker &worker, const LiveRun &run) const
-{
-    if (!run.step) {
-        return;
-    }
-    if (run.step->isLasting) {
-        worker.forBatch -= countedNeed(*run.step);
-        return;
-    }
-    const Milliseconds estimate = run.step->estimate;
-    if (estimate.count() > 0 && m_now - run.placedAt < overdueFactor * estimate) {
-        CapacitySum &expected = run.step->isFiller ? rack.expectedOfFillers : rack.expected;
-        expected.add(run.step->need, 1 / static_cast<double>(estimate.count()));
-    }
-}
-
 } // namespace currantring
--- a/src/libjobs/racksurvey.h
+++ b/src/libjobs/racksurvey.h
@@ -8,6 +8,13 @@
 
 namespace currantring {
 
+/** Capacity that the runs of fillers, and other runs, free in a millisecond. */
+struct ExpectedEnds
+{
+    CapacitySum ofFillers;
+    CapacitySum ofOthers;
+};
+
 /**
  * The racks' schedulable workers and their runs, as of one placement pass; each rack is read when it is first asked
  * for.
@@ -26,30 +33,20 @@
     std::size_t freePlaces(const StepSpec &step, const ServiceName &service, const Label &rack);
     /** Whether no worker of the rack had room for a task of @p step. */
     bool isFull(const StepSpec &step, const Label &rack);
-    /** Capacity that comes free in a millisecond if the runs there take as long as estimated. */
-    CapacitySum expectedRate(const Label &rack, bool isFiller);
+    /** Capacity that comes free in a millisecond if the runs there take as long as estimated; reads all runs. */
+    ExpectedEnds expectedEnds(const Label &rack);
     /** The resources of a task of @p step of which no worker of the rack had enough. */
     Resources scarceNeed(const StepSpec &step, const Label &rack);
 
 private:
-    struct Worker
-    {
-        const WorkerLink *link = nullptr;
-        /** What the lasting runs don't hold. */
-        Resources forBatch;
-    };
     struct Rack
     {
-        std::vector<Worker> workers;
+        std::vector<const WorkerLink *> workers;
         /** The most that any worker has free, for each resource. */
         Resources mostFree;
-        CapacitySum expected;
-        CapacitySum expectedOfFillers;
     };
 
     const Rack &read(const Label &rack);
-    void addWorker(Rack &rack, const WorkerLink &link) const;
-    void addRun(Rack &rack, Worker &worker, const LiveRun &run) const;
 
     const WorkerFleet &m_fleet;
     TimePoint m_now;
--- a/src/libjobs/rackwaitpolicy.h
+++ b/src/libjobs/rackwaitpolicy.h
@@ -68,11 +68,11 @@
 /**
  * Decides how many tasks of a step wait for capacity on the rack that they run faster on.
  *
- * Load pattern: more tasks want a rack than it has room for, for a moment (other work ends there soon) or for long (many
- * jobs name the same rack). A task waits only if its expected wait, behind all work that precedes it, costs less than
- * the longer run elsewhere. That counts twice while other work waits for any place, and half where other steps wait for
- * the rack before it. A step never waits for longer in total than that, nor for longer than the job's objective allows.
- * Thread safety: reentrant.
+ * Load pattern: more tasks want a rack than it has room for, for a moment (other work ends there soon) or for long
+ * (many jobs name the same rack). A task waits only if its expected wait, behind all work that precedes it, costs less
+ * than the longer run elsewhere. That counts twice while other work waits for any place, and half where other steps
+ * wait for the rack before it. A step never waits for longer in total than that, nor for longer than the job's
+ * objective allows. Thread safety: reentrant.
  */
 class RackWaitPolicy
 {
--- a/src/libjobs/rackwaits.cpp
+++ b/src/libjobs/rackwaits.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/** Interval at which the runs on a rack are read; they are many, and reading them in each pass takes half of it. */
+constexpr Milliseconds expectedInterval { 100 };
+
 /** Log fields hold whole milliseconds; -1 stands for an infinite or unknown time. */
 std::string wholeMilliseconds(double duration)
 {
@@ -86,6 +89,16 @@
     return *m_survey;
 }
 
+const ExpectedEnds &RackWaits::expectedEnds(const Label &rack)
+{
+    const TimePoint now = m_context.now();
+    const auto [found, isNew] = m_expected.try_emplace(rack);
+    if (isNew || now - found->second.first >= expectedInterval) {
+        found->second = { now, survey().expectedEnds(rack) };
+    }
+    return found->second.second;
+}
+
 bool RackWaits::isFull(const StepSpec &step, const Label &rack)
 {
     return survey().isFull(step, rack);
@@ -107,7 +120,8 @@
     inputs.isCapacityShort = isShort(step);
     if (inputs.canEverFit) {
         const Resources need = survey().scarceNeed(step, rack);
-        const CapacitySum expected = survey().expectedRate(rack, step.isFiller);
+        const ExpectedEnds &ends = expectedEnds(rack);
+        const CapacitySum &expected = step.isFiller ? ends.ofFillers : ends.ofOthers;
         const auto ahead = m_ahead.find({ rack, step.isFiller });
         inputs.placesPerMs = m_turnover.rate(rack, step.isFiller, m_context.now(), expected).placesFor(need);
         inputs.placesAhead = ahead == m_ahead.end() ? 0 : ahead->second.placesFor(need);
--- a/src/libjobs/rackwaits.h
+++ b/src/libjobs/rackwaits.h
@@ -82,6 +82,7 @@
     };
 
     RackSurvey &survey();
+    const ExpectedEnds &expectedEnds(const Label &rack);
     Outlook outlookOn(const RackCandidate &candidate, const Label &rack, std::size_t maxFree);
     Outlook bestOutlook(const RackCandidate &candidate);
     void report(const RackCandidate &candidate, const Outlook &outlook);
@@ -93,6 +94,8 @@
     RackTurnover m_turnover;
     /** Valid within one pass. */
     std::optional<RackSurvey> m_survey;
+    /** What is expected by the runs on a rack, and when that was read. */
+    std::map<Label, std::pair<TimePoint, ExpectedEnds>> m_expected;
     /** Need of the waiting tasks that precede, by rack and whether they are fillers. */
     std::map<std::pair<Label, bool>, CapacitySum> m_ahead;
     Shortage m_shortage;
--- a/src/libjobs/reservedresources.cpp
+++ b/src/libjobs/reservedresources.cpp
@@ -41,6 +41,11 @@
     } else {
         m_held -= need;
     }
+    if (run.step->isLasting && sign > 0) {
+        m_heldByLasting += need;
+    } else if (run.step->isLasting) {
+        m_heldByLasting -= need;
+    }
 }
 
 const Resources &ReservedResources::held() const
@@ -48,6 +53,11 @@
     return m_held;
 }
 
+const Resources &ReservedResources::heldByLasting() const
+{
+    return m_heldByLasting;
+}
+
 Millicores ReservedResources::fillerDemand() const
 {
     return m_fillerDemand;
--- a/src/libjobs/reservedresources.h
+++ b/src/libjobs/reservedresources.h
@@ -18,6 +18,8 @@
 
     /** Processors of all runs except fillers; memory and accelerators of all runs. */
     [[nodiscard]] const Resources &held() const;
+    /** What the lasting runs take of held(). */
+    [[nodiscard]] const Resources &heldByLasting() const;
     /** Processors that the fillers request. */
     [[nodiscard]] Millicores fillerDemand() const;
     /** Number of serving runs. */
@@ -31,6 +33,7 @@
     void adjust(const LiveRun &run, std::int64_t sign);
 
     Resources m_held;
+    Resources m_heldByLasting;
     Millicores m_fillerDemand;
     Millicores m_servingDemand;
     std::int64_t m_servingRuns = 0;
--- a/tests/libjobs/testrackwait.cpp
+++ b/tests/libjobs/testrackwait.cpp
@@ -308,11 +308,11 @@
     const StepSpec larger = plainStep(5000);
     BOOST_TEST(survey.isFull(larger, rack));
     BOOST_TEST(survey.capacityFor(larger, ServiceName("office"), rack, 10) == 10U);
-    BOOST_TEST(survey.expectedRate(rack, false).placesFor(survey.scarceNeed(larger, rack)) == 3 * 22.0 / 5 / 1000,
+    BOOST_TEST(survey.expectedEnds(rack).ofOthers.placesFor(survey.scarceNeed(larger, rack)) == 3 * 22.0 / 5 / 1000,
                boost::test_tools::tolerance(0.001));
     // Runs that last for a multiple of their estimates tell nothing of when they end.
     RackSurvey later(box.fleet(), box.now() + Milliseconds(2500));
-    BOOST_TEST(later.expectedRate(rack, false).tasks == 0);
+    BOOST_TEST(later.expectedEnds(rack).ofOthers.tasks == 0);
 }
 
 /**
