Test the counters and the line of steps that wait for a rack

Cause: nothing checked that a decision is logged once, that waits are counted, and that tickets are requested elsewhere. Change: three cases in testrackplacing.cpp.

--- a/tests/libjobs/testrackplacing.cpp
+++ b/tests/libjobs/testrackplacing.cpp
@@ -1,8 +1,12 @@
+#include "fleetfixture.h"
 #include "jobevents.h"
+#include "rackwaits.h"
 #include "virtualjobs.h"
 #include "virtualsite.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <tuple>
 
 #include <boost/test/unit_test.hpp>
@@ -45,10 +49,116 @@
     });
 }
 
+/** RackWaits beside a fleet of racks of three workers, whose events and counters are kept. */
+struct WaitsFixture
+{
+    FleetFixture box { 12 };
+    std::map<std::string, int> counts;
+    JobContext context { 1, makeDriver() };
+    RackWaits waits { 2, box.fleet(), context };
+    StepSpec step;
+
+    WaitsFixture()
+    {
+        context.setTime(box.now(), WallTime(0));
+        step.count = 10;
+        step.need = { Millicores(8000), Mebibytes(1000), AcceleratorCount(0) };
+        step.estimate = Milliseconds(400);
+        StepSpec running = step;
+        running.estimate = Milliseconds(380);
+        for (int number = 0; number < 3; ++number) {
+            for (const char *const job : { "a", "b", "c" }) {
+                box.occupy(number, JobId(job), running);
+            }
+        }
+    }
+
+    JobDriver makeDriver()
+    {
+        JobDriver driver;
+        driver.count = [this](std::string_view name, std::string_view /*reason*/) {
+            ++counts[std::string(name)];
+        };
+        driver.log = [this](const LogEvent &event) {
+            ++counts[event.name];
+        };
+        return driver;
+    }
+
+    std::size_t decide(const std::string &job, std::size_t tasks, Milliseconds waited)
+    {
+        return waits.decide(
+            { { JobId(job), 0, 0 }, step, ServiceName("office"), { Label("r0") }, tasks, waited, Milliseconds(5000) });
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RackPlacing)
 
+/** An operator reads from the counters whether waits pay; a line for each pass would hide all others. */
+BOOST_AUTO_TEST_CASE(decisionsAreLoggedOnceAndWaitsAreCounted)
+{
+    WaitsFixture box;
+    const Label rack("r0");
+    const StepRef step { JobId("wanting"), 0, 0 };
+    box.waits.beginPass();
+    BOOST_TEST(box.waits.isFull(box.step, rack));
+    // Nine runs of 380 ms free 9 places in 400 ms.
+    BOOST_TEST(box.decide("wanting", 10, Milliseconds(0)) == 9U);
+    BOOST_TEST(box.waits.hasWaiting());
+    const WorkerLink &away = *box.box.fleet().find(WorkerId("5"));
+    box.waits.notePlaced(step, rack, away);
+    box.waits.notePlaced(step, rack, *box.box.fleet().find(WorkerId("1")));
+    BOOST_TEST(box.counts["tasks_off_rack"] == 1);
+    BOOST_TEST(box.counts["rack_waits_paid"] == 1);
+    box.waits.beginPass();
+    BOOST_TEST(!box.waits.hasWaiting());
+    BOOST_TEST(box.decide("wanting", 8, Milliseconds(400)) == 0U);
+    BOOST_TEST(box.counts["rack_waits_in_vain"] == 8);
+    BOOST_TEST(box.counts["rack_wait_decided"] == 1);
+    BOOST_TEST(box.waits.trackedSteps() == 1U);
+    box.waits.forgetJob(step.job);
+    BOOST_TEST(box.waits.trackedSteps() == 0U);
+}
+
+/** Each of many steps counted on the same places; and work that no worker is large enough for made capacity look short.
+ */
+BOOST_AUTO_TEST_CASE(stepsStandBehindThoseThatPrecede)
+{
+    WaitsFixture box;
+    box.waits.beginPass();
+    BOOST_TEST(box.decide("first", 10, Milliseconds(0)) == 9U);
+    box.waits.addWaiting(Label("r0"), box.step, 2);
+    BOOST_TEST(box.decide("second", 10, Milliseconds(0)) == 2U);
+    box.waits.addWaiting(Label("r0"), box.step, 9);
+    BOOST_TEST(box.decide("third", 10, Milliseconds(0)) == 0U);
+    box.waits.beginPass();
+    BOOST_TEST(box.decide("second", 10, Milliseconds(0)) == 9U);
+    StepSpec huge = box.step;
+    huge.need.processors = Millicores(1'000'000);
+    box.waits.noteShortage(huge);
+    BOOST_TEST(box.decide("third", 20, Milliseconds(0)) == 9U);
+    box.waits.noteShortage(box.step);
+    BOOST_TEST(box.decide("third", 20, Milliseconds(0)) == 18U);
+}
+
+/** Tickets were requested only for the workers of a rack that stays full. */
+BOOST_AUTO_TEST_CASE(ticketsAreRequestedElsewhereWhereNoWaitHelps)
+{
+    VirtualSite site({ .farFactor = 2 });
+    site.run(Milliseconds(1500));
+    BOOST_REQUIRE(site.submit(fullRack(1, true, Milliseconds(0))));
+    site.run(Milliseconds(500));
+    JobSpec wanting = admittedJob(2, 1);
+    for (StepSpec &step : wanting.steps) {
+        step.dataRack = Label("r0");
+        step.estimate = Milliseconds(3000);
+    }
+    BOOST_REQUIRE(site.submit(wanting));
+    BOOST_TEST(timeUntilRunning(site, wanting.id).count() <= 1500);
+}
+
 /** A job waited for its estimate, 1.5 s, for a rack that only lasting runs are on. */
 BOOST_AUTO_TEST_CASE(stepDoesNotWaitForARackThatStaysFull)
 {
