Remember racks without room for a pass

Cause: steps that wait for one rack each looked at all workers in each pass. Change: NoRoomCache takes requests that need a rack as well, and knows them for that rack only.

--- a/src/libjobs/noroomcache.h
+++ b/src/libjobs/noroomcache.h
@@ -25,6 +25,8 @@
     struct Kind
     {
         ServiceName service;
+        /** The rack whose workers had no room; empty when no worker had. */
+        Label rack;
         bool isFiller = false;
         bool isLasting = false;
         ImageName image;
--- a/src/libjobs/runstarterracks.cpp
+++ b/src/libjobs/runstarterracks.cpp
@@ -100,7 +100,7 @@
 {
     m_noRoom.recordNoRoom(request);
     // Only what any worker may take tells that capacity is short.
-    if (m_rackWaits && m_noRoom.isKnownNotToFit(request)) {
+    if (m_rackWaits && !request.isRackNeeded && m_noRoom.isKnownNotToFit(request)) {
         m_rackWaits->noteShortage(request.step);
     }
 }
--- a/tests/libjobs/testplacing.cpp
+++ b/tests/libjobs/testplacing.cpp
@@ -176,6 +176,29 @@
     BOOST_TEST(cache.isKnownNotToFit(requestFor(plainStep(9000))));
 }
 
+/** Each of many steps that wait for one rack looked at all workers again, in each pass. */
+BOOST_AUTO_TEST_CASE(noRoomOnARackIsKnownForThatRackOnly)
+{
+    const StepSpec step = plainStep(4000);
+    PlacementRequest near = requestFor(step);
+    near.rack = Label("r1");
+    near.isRackNeeded = true;
+    PlacementRequest preferred = near;
+    preferred.isRackNeeded = false;
+    PlacementRequest other = near;
+    other.rack = Label("r2");
+    NoRoomCache cache;
+    cache.recordNoRoom(near);
+    BOOST_TEST(cache.isKnownNotToFit(near));
+    for (const PlacementRequest &request : { preferred, other, requestFor(step) }) {
+        BOOST_TEST(!cache.isKnownNotToFit(request));
+    }
+    cache.recordNoRoom(preferred);
+    for (const PlacementRequest &request : { near, preferred, other, requestFor(step) }) {
+        BOOST_TEST(cache.isKnownNotToFit(request));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(requestsWithoutRoomDoNotExcludeLastingTasksThatMoreWorkersAreOpenTo)
 {
     StepSpec lasting = plainStep(4000);
