--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -38,6 +39,8 @@
     int dataCentres = 0;
     /** Whether the deployment's settings have a bound for evacuations. */
     bool hasEvacuations = false;
+    /** See JobNodeOptions::farFactor. */
+    std::optional<double> farFactor = std::nullopt;
     VirtualAdmissionOptions admission { .admits = admitsTwoThirds };
 };
 
--- a/tests/libsite/testsitesettings.cpp
+++ b/tests/libsite/testsitesettings.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(SettingsOfEvacuations)
+BOOST_AUTO_TEST_SUITE(SiteSettingsFile)
 
 /** Guards against a watch on deployments that have no evacuations: it would cost calls to the store. */
 BOOST_AUTO_TEST_CASE(withoutTheBoundThereIsNoPrefix)
@@ -52,4 +52,31 @@
     BOOST_TEST(!parseSiteSettings(settingsWith("evacuateMs = \"soon\"\n"), "settings").has_value());
 }
 
+/** A factor cut to a whole number would make a run elsewhere look cheap, and one that is missing must not be made up.
+ */
+BOOST_AUTO_TEST_CASE(farFactorIsReadAsItStands)
+{
+    struct Case
+    {
+        std::string bounds;
+        std::optional<double> factor;
+    };
+    for (const Case &one : { Case { "harmMs = 4000\n", std::nullopt }, Case { "farX = 1.5\n", 1.5 },
+                             Case { "farX = 3\n", 3.0 }, Case { "farX = 1\n", 1.0 } }) {
+        const auto settings = parseSiteSettings(settingsWith(one.bounds), "settings.toml");
+        BOOST_TEST_REQUIRE(settings.has_value(), one.bounds);
+        BOOST_TEST((settings->farFactor == one.factor), one.bounds);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(wrongFarFactorsAreFindings)
+{
+    for (const char *const bounds :
+         { "farX = 0.5\n", "farX = -2\n", "farX = \"2\"\n", "farX = nan\n", "farX = inf\n", "farX = [2]\n" }) {
+        const auto settings = parseSiteSettings(settingsWith(bounds), "settings.toml");
+        BOOST_TEST_REQUIRE(!settings.has_value(), bounds);
+        BOOST_TEST(settings.error().front().message.find("farX") != std::string::npos, bounds);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
