--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -10,6 +10,7 @@
 inline constexpr std::string_view processStopped = "process_stopped";
 inline constexpr std::string_view processLate = "process_late";
 inline constexpr std::string_view settingsReloaded = "settings_reloaded";
+inline constexpr std::string_view connectionClosed = "connection_closed";
 
 inline constexpr std::string_view storeLost = "store_lost";
 inline constexpr std::string_view storeRegained = "store_regained";
@@ -40,6 +41,11 @@
 inline constexpr std::string_view workerNewLife = "worker_new_life";
 inline constexpr std::string_view workerDraining = "worker_draining";
 inline constexpr std::string_view workerQuarantined = "worker_quarantined";
+inline constexpr std::string_view evacuationBegun = "evacuation_begun";
+inline constexpr std::string_view evacuationDrained = "evacuation_drained";
+inline constexpr std::string_view evacuationEnded = "evacuation_ended";
+inline constexpr std::string_view evacuationListStale = "evacuation_list_stale";
+inline constexpr std::string_view evacuationListCurrent = "evacuation_list_current";
 inline constexpr std::string_view strayRun = "stray_run";
 inline constexpr std::string_view endsUntracked = "ends_untracked";
 inline constexpr std::string_view fenceMet = "fence_met";
@@ -60,5 +66,6 @@
 inline constexpr std::string_view runLost = "run_lost";
 inline constexpr std::string_view runPaced = "run_paced";
 inline constexpr std::string_view runMoved = "run_moved";
+inline constexpr std::string_view rackWaitDecided = "rack_wait_decided";
 
 } // namespace currantring::events
--- a/src/libjobs/joburgency.h
+++ b/src/libjobs/joburgency.h
@@ -22,27 +22,49 @@
     Overdue,
 };
 
+/** What a JobUrgency is for, in order of precedence within a deadline state, as the keys of the kinds can't be
+ * compared. */
+enum class WorkKind {
+    /** Lasting tasks that have waited for long. */
+    WaitingLasting,
+    Job,
+    /** Other lasting tasks. */
+    Lasting,
+};
+
 /** Sort key of waiting work; smaller values are placed first. */
 struct JobUrgency
 {
     std::uint32_t priority = 0;
     DeadlineState deadlineState = DeadlineState::OnTime;
-    /** Latest start of the remaining work, in milliseconds of the wall clock. */
+    WorkKind kind = WorkKind::Job;
+    /**
+     * Remaining work divided by the square root of the whole work; 0 for overdue jobs, so that they are ordered by
+     * their latest start and each ends in a bounded time, and for lasting work.
+     */
+    double scaledWork = 0;
+    /**
+     * Latest start of the remaining work with which the job is in this state, in milliseconds of the wall clock. For
+     * lasting work, the time since which it waits.
+     */
     std::int64_t latestStart = 0;
 
     auto operator<=>(const JobUrgency &) const = default;
 };
 
 /**
- * Urgency of the open work of an occurrence. Work that can still meet its objective precedes work that can't; ties are
- * ordered by the latest start. Thread safety: reentrant.
+ * Urgency of the open work of an occurrence. Work that can still meet its objective precedes work that can't. Under
+ * overload, the order by least remaining work finishes more jobs within their objectives than that by latest start;
+ * divided by the square root of the whole work, it places large jobs less far behind small ones. Precondition: the
+ * occurrence has begun. Thread safety: reentrant.
  */
 JobUrgency urgencyOf(const Job &job, std::uint32_t occurrence, const QueueEntry &queue, WallTime now);
 
 /**
  * Urgency of a lasting task that has waited for placement since @p waitingSince. It is ordered by its waiting time, as
- * the service lacks it all that time whatever the age of its job. Thread safety: reentrant.
+ * the service lacks it all that time whatever the age of its job. For a short time it yields to jobs that can be on
+ * time, for which someone waits. Thread safety: reentrant.
  */
-JobUrgency urgencyOfLasting(const QueueEntry &queue, WallTime waitingSince);
+JobUrgency urgencyOfLasting(const QueueEntry &queue, WallTime waitingSince, WallTime now);
 
 } // namespace currantring
--- a/src/libjobs/noroomcache.h
+++ b/src/libjobs/noroomcache.h
@@ -25,10 +25,13 @@
     struct Kind
     {
         ServiceName service;
+        /** The rack whose workers had no room; empty when no worker had. */
+        Label rack;
         bool isFiller = false;
         bool isLasting = false;
         ImageName image;
         Resources need;
+        FillerThrottling throttling = FillerThrottling::Avoided;
     };
 
     std::vector<Kind> m_kinds;
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "evacuationlist.h"
+#include "evacuationreport.h"
 #include "fillerpacer.h"
 #include "joblog.h"
 #include "knowledgestore.h"
@@ -16,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace currantring {
@@ -40,6 +43,8 @@
         Milliseconds confirmationTerm {};
         /** What it needs of the other hosts for that. */
         HostSupport support;
+        /** By how much a task's run time grows on another rack than its own; nullopt: waits for racks are fixed. */
+        std::optional<double> farFactor;
     };
     struct Handlers
     {
@@ -76,6 +81,7 @@
 private:
     WorkerLink::Handlers linkHandlers(const WorkerId &worker);
     RunMonitor::Sources monitorSources();
+    EvacuationList::Handlers evacuationHandlers();
     void inheritRuns(const Job &job);
     void openStep(const Job &job, std::uint32_t occurrence, std::uint32_t step);
     void openTask(const Job &job, const TaskRef &task);
@@ -110,7 +116,9 @@
     Handlers m_handlers;
     Lifetime m_lifetime;
     QueueRegistry m_queues;
+    EvacuationList m_evacuations;
     WorkerFleet m_fleet;
+    EvacuationReport m_evacuationReport;
     StepAvailability m_availability;
     NeighbourModel m_neighbours;
     KnowledgeStore m_knowledge;
--- a/src/libjobs/runplacer.cpp
+++ b/src/libjobs/runplacer.cpp
@@ -1,7 +1,5 @@
 #include "runplacer.h"
 
-#include "fillercost.h"
-
 #include <algorithm>
 #include <tuple>
 
@@ -16,6 +14,8 @@
 constexpr double suspicionWeight = 1;
 /** A task on its last attempt isn't placed on a worker with a higher suspicion. */
 constexpr double maxLastAttemptSuspicion = 0.5;
+/** The same where the task itself has failed; low enough that the worker is avoided for some seconds after that. */
+constexpr double maxRepeatedSuspicion = 0.05;
 /** Fraction of their processors that serving tasks use at mean load. */
 constexpr double servingUtilization = 0.5;
 constexpr double minUnusedMillicores = 1000;
@@ -145,6 +145,19 @@
     return racks;
 }
 
+bool RunPlacer::isMostlyUnused(const ServiceName &service) const
+{
+    std::int64_t capacity = 0;
+    std::int64_t held = 0;
+    for (const auto &[id, link] : m_fleet.links()) {
+        if (link->entry().service == service && m_fleet.isSchedulable(*link)) {
+            capacity += link->entry().capacity.processors.value();
+            held += link->reservedResources().held().processors.value();
+        }
+    }
+    return held * 2 <= capacity;
+}
+
 std::optional<double> RunPlacer::totalCost(const WorkerLink &link, const PlacementRequest &request, TimePoint now) const
 {
     if (!isEligible(link, request)) {
@@ -192,7 +205,7 @@
         return std::nullopt;
     }
     const double suspicion = m_health.failureScore(worker, now);
-    if (request.isLastAttempt && suspicion > maxLastAttemptSuspicion) {
+    if (request.isLastAttempt && suspicion > (failedOnWorker ? maxRepeatedSuspicion : maxLastAttemptSuspicion)) {
         return std::nullopt;
     }
     return (failedOnWorker ? failedOnWorkerCost : 0) + (isClosed ? quarantinedCost : 0) + suspicion * suspicionWeight;
@@ -236,7 +249,7 @@
 std::optional<double> RunPlacer::fillerCost(const WorkerLink &link, const PlacementRequest &request) const
 {
     const bool isFirst = link.reservedResources().fillerDemand().value() == 0;
-    FillerCost cost(contentionWith(request.step, link), isFirst);
+    FillerCost cost(contentionWith(request.step, link), isFirst, request.throttling);
     const double fraction = fractionOf(request.step.need.processors, link);
     for (const WorkerInterference::Servers &servers : m_interference.of(link).servers) {
         const double coefficient = m_interference.coefficient(request.step.image, servers);
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/** Bounds of the time that a task waits for its preferred rack, which otherwise equals its estimate. */
+/** Where the cost of running elsewhere isn't known: bounds of the wait for a rack, which otherwise is the estimate. */
 constexpr Milliseconds minRackWait { 300 };
 constexpr Milliseconds maxRackWait { 3000 };
 /** Minimum time between passes; tasks that become ready in between are placed in one batch. */
@@ -19,6 +19,9 @@
 constexpr std::size_t maxAdmissionTries = 8;
 /** Tasks with constraints of their own for which one pass looks for a worker in vain, in each step. */
 constexpr std::size_t maxConstrainedTries = 8;
+/** Fillers that no worker has taken for this time, though most of the service is unused, may be placed to be throttled.
+ */
+constexpr Milliseconds unthrottledWait { 2000 };
 /** Interval at which steps that have no worker to ask for are looked at again. */
 constexpr Milliseconds admissionRetryInterval { 100 };
 /** A step that has waited for longer lacks something that no end of other tasks provides. */
@@ -31,6 +34,9 @@
     , m_onLoss(std::move(onLoss))
     , m_admission(parts.context, [this] { requestPass(); })
 {
+    if (parts.farFactor) {
+        m_rackWaits.emplace(*parts.farFactor, parts.fleet, parts.context);
+    }
 }
 
 void RunStarter::open(const TaskRef &task, const Job &job)
@@ -43,6 +49,9 @@
 {
     m_ready.removeJob(job);
     m_admission.forgetJob(job);
+    if (m_rackWaits) {
+        m_rackWaits->forgetJob(job);
+    }
 }
 
 void RunStarter::withdraw(const TaskRef &task)
@@ -54,6 +63,9 @@
 {
     m_ready.removeStep(step);
     m_admission.forgetStep(step);
+    if (m_rackWaits) {
+        m_rackWaits->forgetStep(step);
+    }
 }
 
 void RunStarter::dropTicket(const RunRef &run, const WorkerId &worker)
@@ -74,7 +86,8 @@
 
 std::size_t RunStarter::trackedSteps() const
 {
-    return m_ready.steps().size() + m_admission.trackedSteps();
+    const std::size_t decided = m_rackWaits ? m_rackWaits->trackedSteps() : 0;
+    return m_ready.steps().size() + m_admission.trackedSteps() + decided;
 }
 
 void RunStarter::requestPass()
@@ -91,17 +104,27 @@
 
 void RunStarter::pass()
 {
-    if (!m_parts.fleet.isListed()) {
+    if (!m_parts.fleet.isListed() || !m_parts.evacuations.confirm()) {
         return;
     }
     m_lastPass = m_parts.context.now();
+    startDeferred();
     m_noRoom.clear();
+    m_isMostlyUnused.clear();
+    noteSchedulableRacks();
+    if (m_rackWaits) {
+        m_rackWaits->beginPass();
+    }
     placeAnswered();
+    if (m_rackWaits) {
+        m_rackWaits->beginOrder();
+    }
     m_waitingForTickets.clear();
     for (const StepRef &step : stepsByUrgency()) {
         placeStep(step);
     }
     askAdmission();
+    lookAgainForRacks();
     reportLeftWork();
 }
 
@@ -257,7 +280,7 @@
 }
 
 /** Nullopt when no request can lead to a start at present. */
-std::optional<AdmissionDemand> RunStarter::admissionDemand(const StepRef &step, const ReadyStep &ready) const
+std::optional<AdmissionDemand> RunStarter::admissionDemand(const StepRef &step, const ReadyStep &ready)
 {
     const QueueEntry &queue = *m_parts.queues.find(ready.queue);
     std::optional<PlacementRequest> request = requestFor({ step, *ready.tasks.begin() }, *ready.step, ready.queue);
@@ -270,8 +293,7 @@
         const std::vector<Label> racks = m_parts.placer.racks(request->service);
         request->rack = racks.empty() ? Label() : racks.front();
     }
-    const bool waitsForRack = !ready.step->isGang && isWaitingForRack(ready, request->rack);
-    request->isRackNeeded = waitsForRack;
+    request->isRackNeeded = !ready.step->isGang && wantsOnlyRack(step, ready, request->rack);
     std::size_t admittedRoom = 0;
     if (ready.step->isGang) {
         requireTicket(step, queue, *request);
@@ -296,6 +318,22 @@
     return demand;
 }
 
+/**
+ * Fillers whose image disturbs the serving tasks of all workers would wait for as long as those run. While most of the
+ * service is unused they run throttled instead.
+ */
+FillerThrottling RunStarter::throttlingOf(const ReadyStep &ready, const ServiceName &service)
+{
+    if (!ready.step->isFiller || m_parts.context.now() - ready.since < unthrottledWait) {
+        return FillerThrottling::Avoided;
+    }
+    const auto [place, isNew] = m_isMostlyUnused.try_emplace(service);
+    if (isNew) {
+        place->second = m_parts.placer.isMostlyUnused(service);
+    }
+    return place->second ? FillerThrottling::Accepted : FillerThrottling::Avoided;
+}
+
 bool RunStarter::mayWaitForRack(const ReadyStep &ready) const
 {
     return m_parts.context.now() - ready.since < std::clamp(ready.step->estimate, minRackWait, maxRackWait);
@@ -303,7 +341,27 @@
 
 bool RunStarter::isWaitingForRack(const ReadyStep &ready, const Label &rack) const
 {
-    return !rack.value().empty() && mayWaitForRack(ready);
+    return !rack.value().empty() && mayWaitForRack(ready) && !isRackAbsent(rack);
+}
+
+void RunStarter::noteSchedulableRacks()
+{
+    m_schedulableLabels.clear();
+    if (m_parts.evacuations.evacuations().empty()) {
+        return;
+    }
+    for (const auto &[id, link] : m_parts.fleet.links()) {
+        if (m_parts.fleet.isSchedulable(*link)) {
+            m_schedulableLabels.insert(link->entry().labels.begin(), link->entry().labels.end());
+        }
+    }
+}
+
+/** Whether waiting for a rack is futile, as an evacuation is under way and none of the rack's workers is schedulable.
+ */
+bool RunStarter::isRackAbsent(const Label &rack) const
+{
+    return !m_parts.evacuations.evacuations().empty() && !m_schedulableLabels.contains(rack);
 }
 
 JobUrgency RunStarter::urgencyOfStep(const StepRef &step, const ReadyStep &ready, const Job &job,
@@ -312,7 +370,7 @@
     const WallTime wallNow = m_parts.context.wallNow();
     if (ready.step->isLasting) {
         const Milliseconds waited = m_parts.context.now() - ready.since;
-        return urgencyOfLasting(queue, WallTime(wallNow.value() - waited.count()));
+        return urgencyOfLasting(queue, WallTime(wallNow.value() - waited.count()), wallNow);
     }
     return urgencyOf(job, step.occurrence, queue, wallNow);
 }
@@ -403,17 +461,32 @@
         waitForTickets(step, *queue);
         return;
     }
+    const std::size_t unplaced =
+        m_rackWaits ? placeByRackPolicy(step, ready) : placeEach(step, ready, RackUse::FixedWait, ready.tasks.size());
+    if (unplaced > 0) {
+        waitForTickets(step, *queue);
+    }
+}
+
+/** Places up to @p maxCount of the tasks one by one; returns how many found no worker before it gave up. */
+std::size_t RunStarter::placeEach(const StepRef &step, const ReadyStep &ready, RackUse use, std::size_t maxCount)
+{
+    const QueueEntry &queue = *m_parts.queues.find(ready.queue);
+    const FillerThrottling throttling = throttlingOf(ready, queue.service);
     std::optional<WorkerCostTable> costs;
     std::size_t unplaced = 0;
+    std::size_t placed = 0;
     for (const std::uint32_t index : ready.tasks) {
         const TaskRef task { step, index };
         std::optional<PlacementRequest> request = requestFor(task, *ready.step, ready.queue);
-        if (!request) {
-            return;
+        if (!request || placed == maxCount) {
+            break;
         }
-        requireTicket(step, *queue, *request);
+        requireTicket(step, queue, *request);
         request->rack = rackOf(step, *ready.step);
-        request->isRackNeeded = isWaitingForRack(ready, request->rack);
+        request->isRackNeeded = use == RackUse::FixedWait ? isWaitingForRack(ready, request->rack)
+                                                          : use == RackUse::OnlyThere && !request->rack.value().empty();
+        request->throttling = throttling;
         WorkerLink *const link = choose(*request, costs);
         if (link == nullptr) {
             ++unplaced;
@@ -424,13 +497,12 @@
         }
         const Assignment assignment { task, link, RunNumber(this->task(task).lastRun.value() + 1) };
         record(assignment, reserve(assignment, ready));
+        ++placed;
         if (costs) {
             costs->update(*link);
         }
     }
-    if (unplaced > 0) {
-        waitForTickets(step, *queue);
-    }
+    return unplaced;
 }
 
 /** Whether a task of the same step without constraints of its own finds a place where the task of @p request doesn't.
@@ -460,7 +532,7 @@
         link = m_parts.placer.choose(request, m_parts.context.now());
     }
     if (link == nullptr) {
-        m_noRoom.recordNoRoom(request);
+        noteNoRoom(request);
     }
     return link;
 }
@@ -492,7 +564,8 @@
         }
     }
     const bool maySpanRacks = dataRack.value().empty() && !ready.step->wantsOneRack;
-    const bool mayWait = !maySpanRacks && mayWaitForRack(ready);
+    const bool wantsAbsentRack = !ready.step->wantsOneRack && isRackAbsent(dataRack);
+    const bool mayWait = !maySpanRacks && !wantsAbsentRack && mayGangWait(step, ready);
     if (mayWait || !placeGangOn(step, ready, {})) {
         waitForTickets(step, queue);
     }
@@ -542,6 +615,7 @@
 {
     const WorkerId worker = assignment.link->entry().id;
     m_ready.remove(assignment.task);
+    notePlacedOnRack(assignment.task.step, *run.step, *assignment.link);
     m_parts.context.log(LogLevel::Info, events::runPlaced,
                         { { "task", describe(assignment.task) },
                           { "run", std::to_string(run.ref.number.value()) },
@@ -560,6 +634,10 @@
     if (link == nullptr || job == nullptr || !link->runs().contains(run)) {
         return;
     }
+    if (!m_parts.evacuations.confirm()) {
+        m_deferredStarts.emplace_back(run, worker);
+        return;
+    }
     const std::string ticket = m_admission.ticket(run.task.step, worker, link->life());
     const std::string_view obstacle = obstacleToStart(run.task, *job, *link, ticket);
     if (!obstacle.empty()) {
@@ -571,6 +649,14 @@
     link->start(run, job->spec->payload, job->task(run.task).checkpoint, ticket);
 }
 
+/** Sends the committed starts that waited for the list of evacuations, which has been read. */
+void RunStarter::startDeferred()
+{
+    for (const auto &[run, worker] : std::exchange(m_deferredStarts, {})) {
+        start(run, worker);
+    }
+}
+
 /** Why a committed run isn't started after all; empty when it is. */
 std::string_view RunStarter::obstacleToStart(const TaskRef &task, const Job &job, const WorkerLink &link,
                                              const std::string &ticket) const
@@ -578,6 +664,9 @@
     if (job.isClosed() || job.task(task).isDone) {
         return "not-needed";
     }
+    if (m_parts.evacuations.isEvacuated(link.entry().dataCentre)) {
+        return "evacuated";
+    }
     if (!link.isReachable()) {
         return "worker-silent";
     }
--- a/tests/libjobs/loadmodel.cpp
+++ b/tests/libjobs/loadmodel.cpp
@@ -1,286 +1,252 @@
 #include "loadmodel.h"
 
 #include <algorithm>
+#include <cmath>
+#include <memory>
 #include <tuple>
+#include <utility>
 
 namespace currantring {
 
 namespace {
 
-const ServiceName service("office");
-constexpr double cores = 2000;
-constexpr Milliseconds tick { 50 };
-/** The burst begins once the writer knows the rate. */
-constexpr TimePoint burstBegin { Milliseconds(6000) };
-constexpr TimePoint lastArrival { Milliseconds(60'000) };
-constexpr TimePoint end { Milliseconds(120'000) };
-constexpr int maxAttempts = 5;
-constexpr Milliseconds impatience { 200 };
-constexpr double lateFactor = 3;
-
-double coreSeconds(Millicores processors, Milliseconds duration)
-{
-    return static_cast<double>(processors.value()) * static_cast<double>(duration.count()) / 1e6;
-}
-
-/** Precondition: the job's tasks of the step aren't all done. */
-void finishTask(Job &job, std::uint32_t step)
-{
-    const std::uint32_t index = job.occurrences.front().steps.at(step).doneCount;
-    job.markDone({ { job.spec->id, 0, step }, index });
-}
+constexpr std::int64_t burstAt = 5000;
+constexpr std::int64_t lastArrival = 20'000;
+constexpr std::int64_t tick = 20;
+/** Part of the capacity beyond which best-effort tasks are slowed down. */
+constexpr double crowdedShare = 0.9;
 
 } // namespace
 
-LoadModel::LoadModel(const LoadPattern &pattern, bool refuses)
-    : m_pattern(pattern)
-    , m_refuses(refuses)
+std::int64_t objectiveOf(const JobSpec &spec, const QueueEntry &queue)
 {
-    for (const LoadKind &kind : m_pattern.kinds) {
-        QueueEntry queue;
-        queue.name = QueueName("queue" + std::to_string(kind.priority));
-        queue.service = service;
-        queue.priority = kind.priority;
-        queue.stretch = kind.stretch;
-        queue.targetLatency = kind.targetLatency;
-        makeArrivals(kind, queue);
-    }
+    const auto path = static_cast<double>(criticalPath(spec).count());
+    return static_cast<std::int64_t>(path * queue.stretch) + queue.targetLatency.count();
 }
 
-void LoadModel::makeArrivals(const LoadKind &kind, const QueueEntry &queue)
+LoadModel::LoadModel(Load load)
+    : m_load(std::move(load))
+    , m_random(m_load.seed)
 {
-    const double meanWork = coreSeconds(kind.processors, kind.duration) * kind.steps * kind.width;
-    const TimePoint burstEnd = burstBegin + m_pattern.burst;
+    m_queue.priority = 2;
+    m_queue.stretch = m_load.stretch;
+    m_queue.targetLatency = Milliseconds(m_load.targetMs);
     double due = 0;
-    for (TimePoint at {}; at < lastArrival; at += tick) {
-        const double load = at >= burstBegin && at < burstEnd ? kind.burstLoad : kind.usualLoad;
-        for (due += load * cores * 0.05 / meanWork; due >= 1; due -= 1) {
-            ModelJob job;
-            job.kind = &kind;
-            job.queue = queue;
-            job.firstAttempt = at;
-            JobSpec spec;
-            spec.id = JobId("job" + std::to_string(m_jobs.size()));
-            spec.queue = queue.name;
-            // Widths vary so that jobs differ in their work.
-            const auto width = static_cast<std::uint32_t>(kind.width / 2 + uniformBelow(m_random, kind.width + 1));
-            for (std::uint32_t index = 0; index < kind.steps; ++index) {
-                StepSpec step;
-                step.count = std::max(width, 1U);
-                step.need = { kind.processors, Mebibytes(100), AcceleratorCount(0) };
-                const auto mean = static_cast<double>(kind.duration.count());
-                step.estimate = Milliseconds(static_cast<std::int64_t>(mean * kind.estimateFactor));
-                if (index > 0) {
-                    step.after = { index - 1 };
-                }
-                spec.steps.push_back(step);
-                job.unstarted.push_back(step.count);
-                const double factor = 0.5 + uniformUnit(m_random);
-                job.durations.emplace_back(static_cast<std::int64_t>(mean * factor));
-            }
-            job.spec = std::make_shared<const JobSpec>(std::move(spec));
-            m_attempts.emplace(at, m_jobs.size());
-            m_jobs.push_back(std::move(job));
+    for (std::int64_t now = 0; now < lastArrival; now += tick) {
+        due += m_load.jobsPerSecond * (isBurst(now) ? m_load.burstFactor : 1) * tick / 1000;
+        for (; due >= 1; --due) {
+            addJob(now);
         }
     }
+    double work = 0;
+    for (const ModelJob &job : m_jobs) {
+        work += job.trueWork;
+    }
+    m_capacity = work / static_cast<double>(m_jobs.size()) * m_load.jobsPerSecond / 1000 / m_load.usualLoad;
 }
 
-LoadOutcome LoadModel::play()
+Outcome LoadModel::play(const Order &order)
 {
-    for (m_now = TimePoint {}; m_now < end; m_now += tick) {
-        endTasks();
-        while (!m_attempts.empty() && m_attempts.begin()->first <= m_now) {
-            const std::size_t index = m_attempts.begin()->second;
-            m_attempts.erase(m_attempts.begin());
-            attempt(index);
+    constexpr std::int64_t horizon = 600'000;
+    std::vector<ModelJob> jobs = m_jobs;
+    m_runs.clear();
+    m_used = 0;
+    std::size_t arrived = 0;
+    std::vector<std::size_t> open;
+    for (std::int64_t now = 0; now < horizon && (arrived < jobs.size() || !open.empty()); now += tick) {
+        endRuns(jobs, now);
+        for (; arrived < jobs.size() && jobs[arrived].job.acceptedAt.value() <= now; ++arrived) {
+            open.push_back(arrived);
         }
-        place();
-    }
-    for (const ModelJob &job : m_jobs) {
-        judge(job);
+        std::erase_if(open, [&jobs](std::size_t number) { return jobs[number].finishedAt.has_value(); });
+        place(jobs, open, order, now);
     }
-    for (const auto &[second, work] : m_returnsBySecond) {
-        m_outcome.returnPeak = std::max(m_outcome.returnPeak, work / cores);
-    }
-    return m_outcome;
+    return outcomeOf(jobs);
 }
 
-void LoadModel::attempt(std::size_t index)
+int LoadModel::bound() const
 {
-    ModelJob &job = m_jobs[index];
-    ++job.attempts;
-    if (job.attempts > 1) {
-        m_returnsBySecond[m_now.time_since_epoch().count() / 1000] += trueWork(job);
-    }
-    job.job = std::make_unique<Job>(job.spec, WallTime(m_now.time_since_epoch().count()));
-    job.job->beginOccurrence();
-    if (m_refuses && m_admission.mayRefuse(*job.spec, m_now)) {
-        const LoadDecision decision = m_admission.decide(*job.spec, job.queue, urgency(job), m_now);
-        if (!decision.isAccepted) {
-            ++m_outcome.refusals;
-            job.job.reset();
-            if (job.attempts < maxAttempts) {
-                // Callers are told whole seconds.
-                const Milliseconds told((decision.retryAfter.count() + 999) / 1000 * 1000);
-                m_attempts.emplace(m_now + (m_pattern.habit == CallerHabit::Patient ? told : impatience), index);
-            }
-            return;
+    constexpr std::int64_t step = 200;
+    int best = static_cast<int>(m_jobs.size());
+    for (std::int64_t first = 0; first < lastArrival; first += step) {
+        for (std::int64_t last = first + step; last < lastArrival + 15'000; last += step) {
+            best = std::min(best, boundWithin(first, last));
         }
     }
-    m_admission.recordAccepted(*job.spec, job.queue, m_now);
-    job.acceptedAt = m_now;
-    m_open.push_back(index);
+    return best;
 }
 
-void LoadModel::endTasks()
+bool LoadModel::isBurst(std::int64_t now) const
 {
-    while (!m_ends.empty() && m_ends.begin()->first <= m_now) {
-        const Running ended = m_ends.begin()->second;
-        m_ends.erase(m_ends.begin());
-        ModelJob &job = m_jobs[ended.job];
-        const StepSpec &step = job.spec->steps[job.openStep];
-        m_used -= static_cast<double>(step.need.processors.value()) / 1000;
-        m_admission.recordDone({ service, false }, job.queue.name, step, m_now - ended.startedAt, m_now);
-        finishTask(*job.job, job.openStep);
-        --job.running;
-        if (job.running == 0 && job.unstarted[job.openStep] == 0) {
-            ++job.openStep;
-            if (job.openStep == job.spec->steps.size()) {
-                job.doneAt = m_now;
-                std::erase(m_open, ended.job);
-            }
-        }
-    }
+    return now >= burstAt && now < burstAt + m_load.burstMs;
 }
 
-JobUrgency LoadModel::urgency(const ModelJob &job) const
+double LoadModel::capacityAt(std::int64_t now) const
 {
-    return urgencyOf(*job.job, 0, job.queue, WallTime(m_now.time_since_epoch().count()));
+    const bool isLost = isBurst(now) && now >= burstAt + m_load.burstMs / 2;
+    return m_capacity * (isLost ? 1 - m_load.lostCapacity : 1);
 }
 
-void LoadModel::place()
+void LoadModel::addJob(std::int64_t now)
 {
-    std::vector<std::tuple<std::uint32_t, DeadlineState, double, std::size_t>> order;
-    for (const std::size_t index : m_open) {
-        if (m_jobs[index].unstarted[m_jobs[index].openStep] > 0) {
-            const JobUrgency rank = urgency(m_jobs[index]);
-            order.emplace_back(rank.priority, rank.deadlineState, remainingWork(*m_jobs[index].job, 0), index);
+    const std::size_t number = m_jobs.size();
+    const bool isHuge = m_load.hugeOneIn > 0 && number % static_cast<std::size_t>(m_load.hugeOneIn) == 0;
+    auto spec = std::make_shared<JobSpec>();
+    spec->id = JobId(std::to_string(number));
+    const double whole = std::floor(m_load.steps);
+    const auto steps = static_cast<std::uint32_t>(whole) + (m_random.next() < m_load.steps - whole ? 1 : 0);
+    for (std::uint32_t index = 0; index < steps; ++index) {
+        spec->steps.push_back(randomStep(isHuge ? 10 : 1));
+        if (index > 0) {
+            spec->steps.back().after = { index - 1 };
         }
     }
-    std::ranges::sort(order);
-    std::vector<std::size_t> waiting;
-    for (const auto &[priority, state, work, index] : order) {
-        ModelJob &job = m_jobs[index];
-        const double each = static_cast<double>(job.kind->processors.value()) / 1000;
-        std::uint32_t &unstarted = job.unstarted[job.openStep];
-        for (; unstarted > 0 && m_used + each <= capacity(); --unstarted) {
-            m_used += each;
-            ++job.running;
-            m_ends.emplace(m_now + job.durations[job.openStep], Running { index, m_now });
-        }
-        if (unstarted > 0) {
-            waiting.push_back(index);
+    Job job(spec, WallTime(now));
+    job.beginOccurrence();
+    ModelJob &added = m_jobs.emplace_back(std::move(job));
+    added.waiting.resize(steps);
+    added.isOpened.resize(steps);
+    added.objective = objectiveOf(*spec, m_queue);
+    for (const StepSpec &step : spec->steps) {
+        std::vector<std::int64_t> &durations = added.durations.emplace_back();
+        const auto processors = static_cast<double>(step.need.processors.value());
+        for (std::uint32_t task = 0; task < step.count; ++task) {
+            durations.push_back(durationOf(step));
+            added.estimatedWork += static_cast<double>(step.estimate.count()) * processors;
+            added.trueWork += static_cast<double>(durations.back()) * processors;
         }
     }
-    m_outcome.waitingSteps = std::max(m_outcome.waitingSteps, waiting.size());
-    if (m_admission.needsLeftWork(waiting.size(), m_now)) {
-        reportLeft(waiting);
-    }
 }
 
-void LoadModel::reportLeft(const std::vector<std::size_t> &waiting)
+StepSpec LoadModel::randomStep(double widthFactor)
+{
+    StepSpec step;
+    step.isFiller = m_load.isFiller;
+    const double width = m_random.skewed(m_load.width, 5 * m_load.width) * widthFactor;
+    step.count = std::max(static_cast<std::uint32_t>(width), 1U);
+    step.need.processors = Millicores(static_cast<std::int64_t>(m_random.around(m_load.processors, 0.4)));
+    step.estimate = Milliseconds(static_cast<std::int64_t>(m_random.around(m_load.estimateMs, 0.5)));
+    return step;
+}
+
+std::int64_t LoadModel::durationOf(const StepSpec &step)
 {
-    LeftWork left { m_now, {}, {} };
-    for (const std::size_t index : waiting) {
-        const ModelJob &job = m_jobs[index];
-        const StepSpec &step = job.spec->steps[job.openStep];
-        WaitingStep row { true,
-                          { service, false },
-                          urgency(job),
-                          job.queue.name,
-                          remainingWork(*job.job, 0),
-                          job.unstarted[job.openStep],
-                          step.need,
-                          step.estimate };
-        left.steps.push_back(row);
-        row.isOpen = false;
-        for (std::size_t later = job.openStep + 1; later < job.unstarted.size(); ++later) {
-            row.tasks = job.unstarted[later];
-            left.steps.push_back(row);
+    const bool isSlow = m_load.slowOneIn > 0 && m_random.next() * m_load.slowOneIn < 1;
+    const double duration = m_random.around(static_cast<double>(step.estimate.count()), m_load.error);
+    return std::max<std::int64_t>(static_cast<std::int64_t>(duration * (isSlow ? 7 : 1)), 1);
+}
+
+void LoadModel::endRuns(std::vector<ModelJob> &jobs, std::int64_t now)
+{
+    while (!m_runs.empty() && m_runs.begin()->first <= now) {
+        const Run run = m_runs.begin()->second;
+        m_runs.erase(m_runs.begin());
+        ModelJob &ended = jobs[run.job];
+        m_used -= processorsOf(ended, run.step);
+        ended.job.markDone({ { ended.job.spec->id, 0, run.step }, run.task });
+        if (ended.job.areAllTasksDone()) {
+            ended.finishedAt = now;
         }
     }
-    const Millicores all(static_cast<std::int64_t>(capacity() * 1000));
-    left.capacity[service] = { all, Millicores(static_cast<std::int64_t>(m_used * 1000)), Millicores(0) };
-    m_admission.takeLeftWork(left);
+    // Workers that fail end their runs, which are placed again from the start.
+    while (m_used > capacityAt(now)) {
+        const auto last = std::prev(m_runs.end());
+        m_used -= processorsOf(jobs[last->second.job], last->second.step);
+        jobs[last->second.job].waiting[last->second.step].push_back(last->second.task);
+        m_runs.erase(last);
+    }
 }
 
-double LoadModel::capacity() const
+double LoadModel::processorsOf(const ModelJob &job, std::uint32_t step)
 {
-    const bool isBurst = m_now >= burstBegin && m_now < burstBegin + m_pattern.burst;
-    return isBurst ? cores * (1 - m_pattern.lostCapacity) : cores;
+    return static_cast<double>(job.job.spec->steps[step].need.processors.value());
 }
 
-double LoadModel::trueWork(const ModelJob &job) const
+void LoadModel::place(std::vector<ModelJob> &jobs, const std::vector<std::size_t> &open, const Order &order,
+                      std::int64_t now)
 {
-    double work = 0;
-    for (std::size_t index = 0; index < job.durations.size(); ++index) {
-        work += coreSeconds(job.kind->processors, job.durations[index]) * job.spec->steps[index].count;
+    std::vector<std::tuple<JobUrgency, std::size_t, std::uint32_t>> steps;
+    for (const std::size_t number : open) {
+        ModelJob &job = jobs[number];
+        for (std::uint32_t step = 0; step < job.waiting.size(); ++step) {
+            if (!job.isOpened[step] && job.job.isStepOpen(0, step)) {
+                job.isOpened[step] = true;
+                for (std::uint32_t task = 0; task < job.durations[step].size(); ++task) {
+                    job.waiting[step].push_back(task);
+                }
+            }
+            if (!job.waiting[step].empty()) {
+                steps.emplace_back(order(job.job, 0, m_queue, WallTime(now)), number, step);
+            }
+        }
+    }
+    std::ranges::sort(steps);
+    for (const auto &[urgency, number, step] : steps) {
+        placeStep(jobs[number], number, step, now);
     }
-    return work;
 }
 
-Milliseconds LoadModel::limitOf(const ModelJob &job) const
+void LoadModel::placeStep(ModelJob &job, std::size_t number, std::uint32_t step, std::int64_t now)
 {
-    const auto path = static_cast<double>(criticalPath(*job.spec).count());
-    const double objective = path * job.kind->stretch + static_cast<double>(job.kind->targetLatency.count());
-    return Milliseconds(static_cast<std::int64_t>(objective * lateFactor));
+    const double processors = processorsOf(job, step);
+    std::vector<std::uint32_t> &waiting = job.waiting[step];
+    while (!waiting.empty() && m_used + processors <= capacityAt(now)) {
+        m_used += processors;
+        const bool isCrowded = m_load.isFiller && m_used > crowdedShare * capacityAt(now);
+        const double duration =
+            static_cast<double>(job.durations[step][waiting.back()]) * (isCrowded ? m_load.slowdown : 1);
+        m_runs.emplace(now + static_cast<std::int64_t>(duration), Run { number, step, waiting.back() });
+        waiting.pop_back();
+    }
 }
 
-void LoadModel::judge(const ModelJob &job)
+void LoadModel::add(Count &count, const ModelJob &job)
 {
-    ++m_outcome.jobs;
-    if (!job.job) {
-        ++m_outcome.refused;
-        return;
-    }
-    const bool isDone = job.doneAt != TimePoint {};
-    const Milliseconds limit = limitOf(job);
-    const Milliseconds took = job.doneAt - job.firstAttempt;
-    if (isDone && took <= limit / 3) {
-        ++m_outcome.onTime;
-    } else if (isDone && took <= limit) {
-        ++m_outcome.late;
+    ++count.jobs;
+    const std::int64_t due = job.job.acceptedAt.value() + job.objective;
+    if (job.finishedAt && *job.finishedAt <= due) {
+        ++count.onTime;
+    } else if (job.finishedAt && *job.finishedAt <= due + (lateFactor - 1) * job.objective) {
+        ++count.late;
     } else {
-        ++m_outcome.never;
+        ++count.never;
     }
-    if (!isDone || job.doneAt - job.acceptedAt > limit) {
-        ++m_outcome.acceptedInVain;
-        m_outcome.acceptedInVainBehind += job.kind->priority > 0 ? 1 : 0;
+}
+
+Outcome LoadModel::outcomeOf(std::vector<ModelJob> &jobs)
+{
+    std::ranges::stable_sort(jobs, std::greater(), &ModelJob::estimatedWork);
+    Outcome outcome;
+    for (std::size_t rank = 0; rank < jobs.size(); ++rank) {
+        add(outcome.all, jobs[rank]);
+        if (rank * 10 < jobs.size()) {
+            add(outcome.largestTenth, jobs[rank]);
+        } else if (rank * 10 < jobs.size() * 3) {
+            add(outcome.fifthBelow, jobs[rank]);
+        }
+        outcome.unfinished += jobs[rank].finishedAt ? 0 : 1;
     }
+    return outcome;
 }
 
-int LoadModel::bestInTime() const
+int LoadModel::boundWithin(std::int64_t first, std::int64_t last) const
 {
-    // What arrives in the burst and is in time is done between its begin and the last limit; the smallest jobs make
-    // the most of that. All other jobs may be in time.
-    const TimePoint burstEnd = burstBegin + m_pattern.burst;
-    std::vector<double> works;
-    Milliseconds longest {};
+    std::vector<double> work;
     for (const ModelJob &job : m_jobs) {
-        if (job.firstAttempt >= burstBegin && job.firstAttempt < burstEnd) {
-            works.push_back(trueWork(job));
-            longest = std::max(longest, limitOf(job));
+        if (job.job.acceptedAt.value() >= first && job.job.acceptedAt.value() + job.objective <= last) {
+            work.push_back(job.trueWork);
         }
     }
-    std::ranges::sort(works);
-    const auto burstSeconds = static_cast<double>(m_pattern.burst.count()) / 1000;
-    double left = cores * (burstSeconds * (1 - m_pattern.lostCapacity) + static_cast<double>(longest.count()) / 1000);
-    std::size_t count = 0;
-    while (count < works.size() && works[count] <= left) {
-        left -= works[count];
-        ++count;
+    double left = 0;
+    for (std::int64_t now = first; now < last; now += tick) {
+        left += capacityAt(now) * tick;
+    }
+    std::ranges::sort(work);
+    auto fitting = work.begin();
+    for (; fitting != work.end() && *fitting <= left; ++fitting) {
+        left -= *fitting;
     }
-    return static_cast<int>(m_jobs.size() - works.size() + count);
+    return static_cast<int>(m_jobs.size()) - static_cast<int>(work.end() - fitting);
 }
 
 } // namespace currantring
--- a/tests/libjobs/testloadreplay.cpp
+++ b/tests/libjobs/testloadreplay.cpp
@@ -1,4 +1,4 @@
-#include "loadmodel.h"
+#include "admissionloadmodel.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -53,8 +53,8 @@
 
 Replay replay(const LoadPattern &pattern)
 {
-    Replay result { LoadModel(pattern, false).play(), LoadModel(pattern, true).play() };
-    const int best = LoadModel(pattern, false).bestInTime();
+    Replay result { AdmissionLoadModel(pattern, false).play(), AdmissionLoadModel(pattern, true).play() };
+    const int best = AdmissionLoadModel(pattern, false).bestInTime();
     BOOST_TEST_MESSAGE(pattern.name << ", " << result.baseline.jobs << " jobs\n"
                                     << line("accept all", result.baseline) << "\n"
                                     << line("decision  ", result.decided) << "\n  best possible in time: " << best);
@@ -101,7 +101,7 @@
 {
     for (const double lost : { 0.0, 1.0 / 3 }) {
         const LoadPattern pattern { "batch burst", { batchKind(0.67, 2.2) }, Milliseconds(5400), lost };
-        BOOST_TEST(LoadModel(pattern, true).play().refusals == 0);
+        BOOST_TEST(AdmissionLoadModel(pattern, true).play().refusals == 0);
     }
 }
 
