--- a/src/libjobs/loadadmission.cpp
+++ b/src/libjobs/loadadmission.cpp
@@ -46,11 +46,6 @@
     return static_cast<double>(std::max(estimate, minEstimate).count());
 }
 
-double workOf(const StepSpec &step, std::size_t tasks)
-{
-    return static_cast<double>(step.need.processors.value()) * static_cast<double>(tasks) * flooredMs(step.estimate);
-}
-
 Milliseconds toMilliseconds(double ms)
 {
     return Milliseconds(static_cast<std::int64_t>(std::min(ms, maxMs)));
@@ -85,25 +80,6 @@
 
 } // namespace
 
-double wholeWork(const JobSpec &spec)
-{
-    double work = 0;
-    for (const StepSpec &step : spec.steps) {
-        work += workOf(step, step.count);
-    }
-    return work;
-}
-
-double remainingWork(const Job &job, std::uint32_t occurrence)
-{
-    const std::vector<StepTasks> &steps = job.occurrences.at(occurrence).steps;
-    double work = 0;
-    for (std::size_t index = 0; index < steps.size(); ++index) {
-        work += workOf(job.spec->steps.at(index), steps[index].tasks.size() - steps[index].doneCount);
-    }
-    return work;
-}
-
 LoadAdmission::LoadAdmission(TimePoint activeSince)
     : m_activeSince(activeSince)
 {
@@ -123,8 +99,7 @@
         const auto processors = static_cast<double>(step.need.processors.value());
         const double work = countedMs(step.capacity, step.queue, step.estimate) * processors;
         const double all = work * static_cast<double>(step.tasks);
-        backlog.work.add(step.urgency, step.jobWork,
-                         step.isOpen ? WaitingWork::Amount { all, 0 } : WaitingWork::Amount { 0, all });
+        backlog.work.add(step.urgency, step.isOpen ? WaitingWork::Amount { all, 0 } : WaitingWork::Amount { 0, all });
         if (!step.isOpen) {
             continue;
         }
@@ -205,7 +180,7 @@
 }
 
 LoadAdmission::Wait LoadAdmission::waitOf(const CapacityClass &capacity, const StepSpec &step,
-                                          const JobUrgency &urgency, double jobWork, TimePoint now) const
+                                          const JobUrgency &urgency, TimePoint now) const
 {
     const auto found = m_backlogs.find(capacity);
     const auto learnt = m_learnt.find(capacity);
@@ -219,7 +194,7 @@
     if (mayFit || !backlog.hasCapacity || now - backlog.since < minBacklogTime || !rate) {
         return {};
     }
-    const WaitingWork::Amount preceding = backlog.work.preceding(urgency, jobWork);
+    const WaitingWork::Amount preceding = backlog.work.preceding(urgency);
     const double openMs = preceding.open / *rate;
     if (openMs <= 0) {
         return {};
@@ -233,10 +208,9 @@
 LoadAdmission::Prediction LoadAdmission::predict(const JobSpec &spec, const QueueEntry &queue,
                                                  const JobUrgency &urgency, TimePoint now) const
 {
-    const double jobWork = wholeWork(spec);
     Prediction prediction;
     prediction.finishMs = pathMs(spec, [&](const StepSpec &step) {
-        const Wait wait = waitOf(classOf(step, queue), step, urgency, jobWork, now);
+        const Wait wait = waitOf(classOf(step, queue), step, urgency, now);
         if (wait.ms > prediction.longest.ms) {
             prediction.longest = wait;
         }
--- a/src/libjobs/loadadmission.h
+++ b/src/libjobs/loadadmission.h
@@ -22,8 +22,6 @@
     CapacityClass capacity;
     JobUrgency urgency;
     QueueName queue;
-    /** Remaining work of the step's job; see remainingWork(). */
-    double jobWork = 0;
     std::size_t tasks = 0;
     /** What each task needs, and its estimated duration. */
     Resources need;
@@ -56,11 +54,6 @@
     Milliseconds retryAfter {};
 };
 
-/** Millicore-milliseconds of all tasks of @p spec at their estimates. Thread safety: reentrant. */
-double wholeWork(const JobSpec &spec);
-/** The same for the tasks of an occurrence that aren't done. Precondition: it has begun. Thread safety: reentrant. */
-double remainingWork(const Job &job, std::uint32_t occurrence);
-
 /**
  * Refuses jobs while more work waits before them than can be completed within three times their objective.
  *
@@ -142,7 +135,7 @@
     [[nodiscard]] double countedWork(const JobSpec &spec, const QueueEntry &queue, const CapacityClass &capacity) const;
     [[nodiscard]] double countedMs(const CapacityClass &capacity, const QueueName &queue, Milliseconds estimate) const;
     [[nodiscard]] Wait waitOf(const CapacityClass &capacity, const StepSpec &step, const JobUrgency &urgency,
-                              double jobWork, TimePoint now) const;
+                              TimePoint now) const;
     [[nodiscard]] Prediction predict(const JobSpec &spec, const QueueEntry &queue, const JobUrgency &urgency,
                                      TimePoint now) const;
     Milliseconds scheduleReturn(const JobSpec &spec, const QueueEntry &queue, const Wait &wait, double slackMs,
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -153,7 +153,6 @@
                                     { queue->service, ready.step->isFiller },
                                     urgencyOfStep(step, ready, *job, *queue),
                                     ready.queue,
-                                    remainingWork(*job, step.occurrence),
                                     ready.tasks.size(),
                                     ready.step->need,
                                     ready.step->estimate };
--- a/src/libjobs/waitingwork.cpp
+++ b/src/libjobs/waitingwork.cpp
@@ -5,9 +5,9 @@
 
 namespace currantring {
 
-void WaitingWork::add(const JobUrgency &urgency, double jobWork, const Amount &work)
+void WaitingWork::add(const JobUrgency &urgency, const Amount &work)
 {
-    m_entries.push_back({ urgency.priority, urgency.deadlineState, jobWork, work });
+    m_entries.push_back({ urgency.priority, urgency.deadlineState, urgency.scaledWork, work });
 }
 
 void WaitingWork::sum()
@@ -21,9 +21,9 @@
     }
 }
 
-WaitingWork::Amount WaitingWork::preceding(const JobUrgency &urgency, double jobWork) const
+WaitingWork::Amount WaitingWork::preceding(const JobUrgency &urgency) const
 {
-    const Entry job { urgency.priority, urgency.deadlineState, jobWork, {} };
+    const Entry job { urgency.priority, urgency.deadlineState, urgency.scaledWork, {} };
     const auto after = std::ranges::upper_bound(m_entries, job.rank(), {}, &Entry::rank);
     return after == m_entries.begin() ? Amount {} : std::prev(after)->work;
 }
--- a/tests/libjobs/admissionloadmodel.cpp
+++ b/tests/libjobs/admissionloadmodel.cpp
@@ -164,7 +164,7 @@
     for (const std::size_t index : m_open) {
         if (m_jobs[index].unstarted[m_jobs[index].openStep] > 0) {
             const JobUrgency rank = urgency(m_jobs[index]);
-            order.emplace_back(rank.priority, rank.deadlineState, remainingWork(*m_jobs[index].job, 0), index);
+            order.emplace_back(rank.priority, rank.deadlineState, rank.scaledWork, index);
         }
     }
     std::ranges::sort(order);
@@ -194,14 +194,8 @@
     for (const std::size_t index : waiting) {
         const ModelJob &job = m_jobs[index];
         const StepSpec &step = job.spec->steps[job.openStep];
-        WaitingStep row { true,
-                          { service, false },
-                          urgency(job),
-                          job.queue.name,
-                          remainingWork(*job.job, 0),
-                          job.unstarted[job.openStep],
-                          step.need,
-                          step.estimate };
+        WaitingStep row { true,      { service, false }, urgency(job), job.queue.name, job.unstarted[job.openStep],
+                          step.need, step.estimate };
         left.steps.push_back(row);
         row.isOpen = false;
         for (std::size_t later = job.openStep + 1; later < job.unstarted.size(); ++later) {
--- a/tests/libjobs/testloadadmission.cpp
+++ b/tests/libjobs/testloadadmission.cpp
@@ -6,8 +6,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,14 @@
     return queue;
 }
 
+/** Urgency of a job of priority 2 that has just been submitted. */
+JobUrgency urgencyOfNew(const JobSpec &spec)
+{
+    Job job(std::make_shared<const JobSpec>(spec), WallTime(0));
+    job.beginOccurrence();
+    return urgencyOf(job, 0, queueOf(2), WallTime(0));
+}
+
 /** A load on 100 cores, and the job that is submitted under it; the fields are what a row of the table changes. */
 struct Situation
 {
@@ -69,22 +79,21 @@
         }
     }
     const auto tasks = static_cast<std::size_t>(situation.backlogSeconds * 100);
-    const JobUrgency urgency { situation.backlogPriority, situation.backlogState, 0 };
+    const JobUrgency urgency { situation.backlogPriority, situation.backlogState, WorkKind::Job,
+                               std::sqrt(situation.backlogJobWork * 1e6), 0 };
     for (const Milliseconds age : { situation.waitingFor, situation.sumAge }) {
         LeftWork left { now - age, {}, {} };
-        const double jobWork = situation.backlogJobWork * 1e6;
-        left.steps.push_back(
-            { true, counted, urgency, QueueName("waiting"), jobWork, tasks, step.need, step.estimate });
-        left.steps.push_back(
-            { true, counted, urgency, QueueName("waiting"), jobWork, 1, step.need, situation.oneEstimate });
+        left.steps.push_back({ true, counted, urgency, QueueName("waiting"), tasks, step.need, step.estimate });
+        left.steps.push_back({ true, counted, urgency, QueueName("waiting"), 1, step.need, situation.oneEstimate });
         left.capacity[counted.service] = { Millicores(situation.capacity), Millicores(situation.capacity),
                                            Millicores(0) };
         admission.takeLeftWork(left);
     }
     QueueEntry queue = queueOf(2);
     queue.service = situation.service;
-    return admission.mayRefuse(situation.job, now) ? admission.decide(situation.job, queue, { 2 }, now)
-                                                   : LoadDecision();
+    return admission.mayRefuse(situation.job, now)
+        ? admission.decide(situation.job, queue, urgencyOfNew(situation.job), now)
+        : LoadDecision();
 }
 
 struct Row
@@ -251,14 +260,15 @@
     for (const Milliseconds age : { Milliseconds(4000), Milliseconds(0) }) {
         LeftWork left { now - age, {}, {} };
         left.steps.push_back(
-            { true, counted, { 0 }, QueueName("waiting"), 1, 10 * tasksInSecond, step.need, step.estimate });
+            { true, counted, { 0 }, QueueName("waiting"), 10 * tasksInSecond, step.need, step.estimate });
         left.capacity[counted.service] = { Millicores(60'000), Millicores(60'000), Millicores(0) };
         admission.takeLeftWork(left);
     }
     std::map<std::int64_t, int> returnsInSecond;
     std::vector<Milliseconds> retryTimes;
     for (std::uint64_t number = 1; number <= jobs; ++number) {
-        const LoadDecision decision = admission.decide(jobNumber(number), queueOf(2), { 2 }, now);
+        const LoadDecision decision =
+            admission.decide(jobNumber(number), queueOf(2), urgencyOfNew(jobNumber(number)), now);
         BOOST_TEST(!decision.isAccepted);
         retryTimes.push_back(decision.retryAfter);
         ++returnsInSecond[decision.retryAfter.count() / 1000];
@@ -272,8 +282,8 @@
     BOOST_TEST((retryTimes.front() < retryTimes.back()));
 
     // A caller that asks again at once is answered by the same inputs, and its work isn't counted twice.
-    const LoadDecision first = admission.decide(jobNumber(1), queueOf(2), { 2 }, now);
-    const LoadDecision again = admission.decide(jobNumber(1), queueOf(2), { 2 }, now);
+    const LoadDecision first = admission.decide(jobNumber(1), queueOf(2), urgencyOfNew(jobNumber(1)), now);
+    const LoadDecision again = admission.decide(jobNumber(1), queueOf(2), urgencyOfNew(jobNumber(1)), now);
     BOOST_TEST(!again.isAccepted);
     BOOST_TEST((first.retryAfter == again.retryAfter));
     BOOST_TEST((first.finish == again.finish));
