--- a/tests/currantringd/testlimitedserver.cpp
+++ b/tests/currantringd/testlimitedserver.cpp
@@ -195,7 +195,9 @@
     BOOST_TEST(answer.find("200 OK") == std::string::npos);
 }
 
-/** Unfinished large requests on all connections held as many times the largest body; small requests go on beside them.
+/**
+ * Guards against unfinished large requests on all connections that together hold that many times the largest body, and
+ * against refusing small requests beside them.
  */
 BOOST_AUTO_TEST_CASE(largeRequestsBeyondTheBudgetOfAllConnectionsAreRefused)
 {
--- a/tests/libjobs/testfillercost.cpp
+++ b/tests/libjobs/testfillercost.cpp
@@ -245,6 +245,9 @@
 
 BOOST_AUTO_TEST_SUITE(FillerCosts)
 
+/**
+ * Guards against placing a filler where it would be throttled soon, and against closing a worker that has room for it.
+ */
 BOOST_AUTO_TEST_CASE(closesWorkersThatWouldHaveToThrottleTheFiller)
 {
     struct Case
@@ -269,6 +272,10 @@
     }
 }
 
+/**
+ * Guards against a cost that ignores the disturbance or the contention. Below a contention of one half, workers are
+ * equal.
+ */
 BOOST_AUTO_TEST_CASE(prefersWorkersWhereTheFillerDisturbsLess)
 {
     const auto cost = [](double contention, double coefficient) {
@@ -279,8 +286,10 @@
     BOOST_TEST(cost(0.1, 0.2) == cost(0.5, 0.2));
 }
 
-/** Fillers that would have to be throttled on each worker waited until the end of the day, though most of it was
- * unused. */
+/**
+ * Guards against fillers that never start where all workers would have to throttle them, though most processors are
+ * unused.
+ */
 BOOST_AUTO_TEST_CASE(acceptedThrottlingOpensWorkersInOrderOfTheExcess)
 {
     const auto cost = [](double contention, double peakOverLimit) {
--- a/tests/libjobs/testjoburgency.cpp
+++ b/tests/libjobs/testjoburgency.cpp
@@ -58,8 +58,9 @@
 BOOST_AUTO_TEST_SUITE(JobUrgencies)
 
 /**
- * The objective is 2 x 1,000 + 1,000 ms. Best-effort work counts twice for on time only; counted twice against overdue,
- * it would lose its precedence while it can still have value.
+ * Guards against judging the deadline state by the whole path or by the wrong bound. The objective is 2 x 1,000 + 1,000
+ * ms. Best-effort work counts twice for on time only; counted twice against overdue, it would lose its precedence while
+ * it can still have value.
  */
 BOOST_AUTO_TEST_CASE(deadlineStateDependsOnRemainingPath)
 {
@@ -94,7 +95,7 @@
     }
 }
 
-/** A value that isn't a finite, positive number would make the order inconsistent. */
+/** Guards against a key that isn't a finite, positive number, which would make the order inconsistent. */
 BOOST_AUTO_TEST_CASE(scaledWorkIsRemainingWorkOverRootOfWholeWork)
 {
     struct Case
@@ -121,7 +122,7 @@
     }
 }
 
-/** Each row is placed before the next one. */
+/** Guards against a change of precedence between kinds and states of work. Each row is placed before the next one. */
 BOOST_AUTO_TEST_CASE(orderOfWaitingWork)
 {
     struct Row
--- a/tests/libjobs/testloadorder.cpp
+++ b/tests/libjobs/testloadorder.cpp
@@ -54,8 +54,8 @@
 BOOST_AUTO_TEST_SUITE(LoadOrder)
 
 /**
- * Load above capacity. With the former key each job was begun when it had no slack left, so that most ended late. An
- * order by work could starve large jobs instead.
+ * Guards, under load above capacity, against starting each job only when it has no slack left, so that most end late,
+ * and against an order by work that starves large jobs.
  */
 BOOST_AUTO_TEST_CASE(overloadLeavesMoreJobsOnTimeAndLargeOnesServed)
 {
@@ -100,8 +100,8 @@
 }
 
 /**
- * A burst that the slack of the jobs absorbs, where the order by latest start is the best one. The new key must not
- * cost more than a tenth of the jobs that are on time there, and none may be without value.
+ * Guards against a high cost in a burst that the slack of the jobs absorbs, where the order by latest start is the best
+ * one: at most a tenth of the jobs on time may be lost, and none may be without value.
  */
 BOOST_AUTO_TEST_CASE(burstThatSlackAbsorbsCostsFewJobs)
 {
@@ -110,7 +110,7 @@
     BOOST_TEST(rows.present.all.never == 0);
 }
 
-/** The key must make no difference while all waiting tasks have room. */
+/** Guards against an effect of the key while all waiting tasks have room. */
 BOOST_AUTO_TEST_CASE(orderMakesNoDifferenceWithoutOverload)
 {
     const Rows rows = play({ .name = "usual load", .usualLoad = 0.3, .burstFactor = 1.2 });
--- a/tests/libjobs/testplacing.cpp
+++ b/tests/libjobs/testplacing.cpp
@@ -176,7 +176,10 @@
     BOOST_TEST(cache.isKnownNotToFit(requestFor(plainStep(9000))));
 }
 
-/** Each of many steps that wait for one rack looked at all workers again, in each pass. */
+/**
+ * Guards against a search through all workers by each of many steps that wait for one rack, and against taking a full
+ * rack for a full fleet.
+ */
 BOOST_AUTO_TEST_CASE(noRoomOnARackIsKnownForThatRackOnly)
 {
     const StepSpec step = plainStep(4000);
@@ -211,8 +214,10 @@
     BOOST_TEST(cache.isKnownNotToFit(requestFor(plainStep(4000))));
 }
 
-/** A filler waited for as long as serving tasks that it disturbs ran on all workers, though most processors were
- * unused. */
+/**
+ * Guards against a filler that waits for as long as serving tasks that it disturbs run on all workers, though most
+ * processors are unused.
+ */
 BOOST_AUTO_TEST_CASE(fillersThatDisturbEverywhereRunThrottledWhileMostIsUnused)
 {
     FleetFixture box(2);
--- a/tests/libjobs/testrackplacing.cpp
+++ b/tests/libjobs/testrackplacing.cpp
@@ -96,7 +96,7 @@
 
 BOOST_AUTO_TEST_SUITE(RackPlacing)
 
-/** An operator reads from the counters whether waits pay; a line for each pass would hide all others. */
+/** Guards against a log line in each pass, and against counters that don't tell whether waits were worthwhile. */
 BOOST_AUTO_TEST_CASE(decisionsAreLoggedOnceAndWaitsAreCounted)
 {
     WaitsFixture box;
@@ -122,7 +122,9 @@
     BOOST_TEST(box.waits.trackedSteps() == 0U);
 }
 
-/** Each of many steps counted on the same places; and work that no worker is large enough for made capacity look short.
+/**
+ * Guards against many steps that each count on the same places, and against taking capacity for short because of a task
+ * that is too large for any worker.
  */
 BOOST_AUTO_TEST_CASE(stepsStandBehindThoseThatPrecede)
 {
@@ -143,7 +145,7 @@
     BOOST_TEST(box.decide("third", 20, Milliseconds(0)) == 18U);
 }
 
-/** Tickets were requested only for the workers of a rack that stays full. */
+/** Guards against requesting tickets only for the workers of a rack that stays full. */
 BOOST_AUTO_TEST_CASE(ticketsAreRequestedElsewhereWhereNoWaitHelps)
 {
     VirtualSite site({ .farFactor = 2 });
@@ -159,7 +161,7 @@
     BOOST_TEST(timeUntilRunning(site, wanting.id).count() <= 1500);
 }
 
-/** A job waited for its estimate, 1.5 s, for a rack that only lasting runs are on. */
+/** Guards against a wait as long as the estimate, 1.5 s, for a rack that only lasting runs are on. */
 BOOST_AUTO_TEST_CASE(stepDoesNotWaitForARackThatStaysFull)
 {
     for (const auto &[farFactor, soonest, latest] :
@@ -179,7 +181,7 @@
     }
 }
 
-/** A step that is expected to get a place soon must not run elsewhere for twice as long. */
+/** Guards against running elsewhere for twice as long when a place on the rack is expected soon. */
 BOOST_AUTO_TEST_CASE(stepWaitsForARackThatSoonHasRoom)
 {
     VirtualSite site({ .farFactor = 2 });
@@ -193,7 +195,10 @@
     BOOST_TEST(runsOnNearRack(site, wanting));
 }
 
-/** A rack that doesn't exist, or whose workers are gone or drain, must not hold up a step; nor must a late job wait. */
+/**
+ * Guards against waits for a rack that doesn't exist or whose workers are gone or drain, and against waits of late
+ * jobs.
+ */
 BOOST_AUTO_TEST_CASE(stepDoesNotWaitForARackWithoutWorkers)
 {
     for (const bool isUnknown : { true, false }) {
@@ -210,7 +215,7 @@
     }
 }
 
-/** The members of a gang that no rack is large enough for waited 3 s. */
+/** Guards against a wait of 3 s by a gang that no rack is large enough for. */
 BOOST_AUTO_TEST_CASE(gangWiderThanAnyRackRunsAtOnce)
 {
     VirtualSite site({ .farFactor = 2 });
@@ -223,7 +228,7 @@
     BOOST_TEST(timeUntilRunning(site, gang.id).count() <= 500);
 }
 
-/** What is kept for decisions must leave with the jobs, or the writer's memory grows without bound. */
+/** Guards against decisions that are kept after their jobs, so that the writer's memory grows without bound. */
 BOOST_AUTO_TEST_CASE(decisionsAreForgottenWithTheirJobs)
 {
     VirtualSite site({ .farFactor = 2 });
--- a/tests/libjobs/testrackwait.cpp
+++ b/tests/libjobs/testrackwait.cpp
@@ -214,7 +214,10 @@
     }
 }
 
-/** An idle time before a rack fills, or ends long past, must not hide how fast capacity comes free there now. */
+/**
+ * Guards against a rate of freed capacity that is distorted by an idle time before the rack filled, or by ends long
+ * past.
+ */
 BOOST_AUTO_TEST_CASE(turnoverFollowsTheRecentEnds)
 {
     const Label rack("r0");
@@ -248,7 +251,7 @@
     BOOST_TEST(turnover.rate(Label("r1"), false, now, {}).tasks == 0);
 }
 
-/** A step waited for a rack that no worker of could ever take its tasks. */
+/** Guards against waits for a rack on which no worker could ever take the tasks. */
 BOOST_AUTO_TEST_CASE(racksThatCannotTakeTheTasks)
 {
     // Three workers of 24 to 28 processors on each rack.
@@ -293,6 +296,10 @@
     }
 }
 
+/**
+ * Guards against counting batch runs as taken for good, and against expecting the end of runs that exceed their
+ * estimates.
+ */
 BOOST_AUTO_TEST_CASE(batchRunsMakeARackFullButComeToAnEnd)
 {
     FleetFixture box(12);
@@ -316,8 +323,8 @@
 }
 
 /**
- * The fixed wait cost more than running elsewhere where a rack stayed full or many wanted it. The table shows it, the
- * policy, and the best that is possible with all times known in advance.
+ * Guards against waits that cost more than the fixed wait, which is expensive where a rack stays full or many steps
+ * want it. The table shows the fixed wait, the policy, and the best that is possible with all times known in advance.
  */
 BOOST_AUTO_TEST_CASE(policyCostsNoMoreThanAFixedWait)
 {
--- a/tests/libnet/testconnectionmemory.cpp
+++ b/tests/libnet/testconnectionmemory.cpp
@@ -68,7 +68,7 @@
 
 BOOST_AUTO_TEST_SUITE(ConnectionMemories)
 
-/** Clients that hold as much as one connection may exceeded the host's memory together. */
+/** Guards against many clients that are each within the limit of a connection and exceed the host's memory together. */
 BOOST_AUTO_TEST_CASE(clientsWithLargeRequestsStayWithinTheBudgetAndSmallRequestsAreServed)
 {
     struct Row
@@ -91,6 +91,7 @@
     }
 }
 
+/** Guards against closing connections while all of them together are within the budget. */
 BOOST_AUTO_TEST_CASE(nothingIsClosedWithinTheBudget)
 {
     ConnectionMemory memory;
@@ -105,6 +106,7 @@
     BOOST_TEST(memory.held() == 51U);
 }
 
+/** Guards against closing a new connection in favour of an older one that holds as much. */
 BOOST_AUTO_TEST_CASE(amongEqualConnectionsTheOldestIsClosed)
 {
     ConnectionMemory memory;
--- a/tests/libnet/testhttpserver.cpp
+++ b/tests/libnet/testhttpserver.cpp
@@ -9,7 +9,10 @@
 
 BOOST_AUTO_TEST_SUITE(HttpServers)
 
-/** Four clients with endless trailer fields took a process from 3 MB to 1,279 MB. */
+/**
+ * Guards against buffers without a limit: four clients with endless trailer fields took a process from 3 MB to 1,279
+ * MB.
+ */
 BOOST_AUTO_TEST_CASE(endlessRequestsAreClosedAndCounted)
 {
     struct Row
@@ -45,7 +48,7 @@
     }
 }
 
-/** A refusal names what was too large, and nothing of the request is handed over. */
+/** Guards against refusals that don't tell what was too large, and against handing over a part of a refused request. */
 BOOST_AUTO_TEST_CASE(refusalsAreAnsweredByStatus)
 {
     Served served;
@@ -62,6 +65,7 @@
     BOOST_TEST(served.requests() == 0U);
 }
 
+/** Guards against limits that refuse a request of the largest allowed size because of how it is framed. */
 BOOST_AUTO_TEST_CASE(largestRequestsAreServedPlainAndInChunksOfOneByte)
 {
     Served served;
@@ -78,7 +82,9 @@
     BOOST_TEST(served.closedCount() == 0U);
 }
 
-/** Bodies without their last byte on many connections exceeded the memory of the smallest hosts. */
+/**
+ * Guards against bodies without their last byte on many connections, which exceeded the memory of the smallest hosts.
+ */
 BOOST_AUTO_TEST_CASE(unfinishedRequestsStayWithinTheBudget)
 {
     HttpServerLimits limits = patientLimits();
@@ -97,7 +103,7 @@
     BOOST_TEST(served.requests() == 30U);
 }
 
-/** What waits for its response counts, too: requests of the largest size that nothing answers. */
+/** Guards against a budget that leaves out requests that are whole and wait for their response. */
 BOOST_AUTO_TEST_CASE(requestsThatWaitForAResponseStayWithinTheBudget)
 {
     HttpServerLimits limits = patientLimits();
@@ -115,6 +121,7 @@
     BOOST_TEST(served.mostHeld() <= limits.maximumHeldBytes);
 }
 
+/** Guards against a budget that leaves out responses that clients don't read. */
 BOOST_AUTO_TEST_CASE(unreadResponsesStayWithinTheBudgetAndEnd)
 {
     HttpServerLimits limits = patientLimits();
@@ -131,6 +138,7 @@
     BOOST_TEST(served.held() <= limits.maximumHeldBytes);
 }
 
+/** Guards against a response that is held for as long as its client doesn't read it. */
 BOOST_AUTO_TEST_CASE(anUnreadResponseIsGivenUp)
 {
     HttpServerLimits limits = patientLimits();
@@ -143,6 +151,7 @@
     BOOST_TEST(served.held() == 0U);
 }
 
+/** Guards against connections that are held by a request whose rest never comes. */
 BOOST_AUTO_TEST_CASE(aHalfRequestIsGivenUp)
 {
     HttpServerLimits limits = patientLimits();
@@ -154,7 +163,7 @@
     BOOST_TEST(client.awaitEnd());
 }
 
-/** Requests that are sent ahead of a response are all served in turn, and no more of them is held than the limit. */
+/** Guards against holding more pipelined requests than the limit, and against losing or reordering those that wait. */
 BOOST_AUTO_TEST_CASE(pipelinedRequestsAreHeldWithinTheLimitAndServedInTurn)
 {
     Served served;
@@ -180,7 +189,10 @@
     BOOST_TEST(served.closedCount() == 0U);
 }
 
-/** Connections that never send a whole request kept all others out; those that have served one are kept. */
+/**
+ * Guards against connections that never send a whole request and keep all others out, and against closing those that
+ * have been served.
+ */
 BOOST_AUTO_TEST_CASE(connectionsWithoutARequestMakeRoom)
 {
     HttpServerLimits limits = patientLimits();
@@ -207,7 +219,9 @@
     BOOST_TEST(known.readUntil("second").starts_with("HTTP/1.1 200"));
 }
 
-/** Random bytes and changed requests, several on a connection: the server goes on and holds little. */
+/**
+ * Guards against a server that stops, or holds much, after random bytes and changed requests, several on a connection.
+ */
 BOOST_AUTO_TEST_CASE(randomClientsAreSurvived)
 {
     Served served;
--- a/tests/libnet/testrequestreceiver.cpp
+++ b/tests/libnet/testrequestreceiver.cpp
@@ -68,7 +68,10 @@
 
 BOOST_AUTO_TEST_SUITE(RequestReceivers)
 
-/** Requests that never end are refused for the limit that they exceed, with little held, however they are split. */
+/**
+ * Guards against buffers that grow with a request that never ends, however it is split, and against refusals for the
+ * wrong limit.
+ */
 BOOST_AUTO_TEST_CASE(endlessRequestsAreRefused)
 {
     struct Row
@@ -108,8 +111,10 @@
     }
 }
 
-/** A parser that takes field by field forgot what it had taken, and an endless header was held when each part ended
- * with a field. */
+/**
+ * Guards against a limit that counts only the unfinished field: an endless header was held when each part ended with a
+ * field.
+ */
 BOOST_AUTO_TEST_CASE(headerIsBoundedThoughEachPartEndsWithAField)
 {
     HttpServerLimits limits = smallLimits();
@@ -120,6 +125,10 @@
     BOOST_TEST(received.used <= limits.maximumHeaderBytes + 8U);
 }
 
+/**
+ * Guards against many tiny header fields, which take more memory than their bytes, and against a limit that is off by
+ * one.
+ */
 BOOST_AUTO_TEST_CASE(headerFieldsAreCounted)
 {
     const HttpServerLimits limits = smallLimits();
@@ -132,6 +141,7 @@
     }
 }
 
+/** Guards against a limit on the number of fields that leaves out trailers, or is off by one. */
 BOOST_AUTO_TEST_CASE(trailerFieldsAreCounted)
 {
     HttpServerLimits limits = smallLimits();
@@ -146,7 +156,10 @@
     }
 }
 
-/** Trailer fields aren't header fields: a route or a deadline can't be given after the body. */
+/**
+ * Guards against trailer fields that count as header fields, by which a route or a deadline could be given after the
+ * body.
+ */
 BOOST_AUTO_TEST_CASE(trailerFieldsAreDropped)
 {
     const Received received =
@@ -156,7 +169,7 @@
     BOOST_TEST(received.request->headers.size() == 1U);
 }
 
-/** No limit's default may refuse a request of 16,384 bytes of header and 262,144 bytes of body. */
+/** Guards against defaults that refuse a request of 16,384 bytes of header and 262,144 bytes of body. */
 BOOST_AUTO_TEST_CASE(largestRequestsAreTaken)
 {
     const HttpServerLimits limits;
@@ -199,7 +212,7 @@
     }
 }
 
-/** A length without a body doesn't make the server reserve room for it. */
+/** Guards against reserving memory for a body that is announced by its length and not sent. */
 BOOST_AUTO_TEST_CASE(lengthAloneTakesLittleMemory)
 {
     const HttpServerLimits limits;
@@ -208,6 +221,7 @@
     BOOST_TEST(received.mostHeld < 20'000U);
 }
 
+/** Guards against accepting bytes that aren't a request, a request with two lengths, or malformed chunks. */
 BOOST_AUTO_TEST_CASE(malformedRequestsAreRefused)
 {
     for (const std::string bytes :
@@ -220,7 +234,9 @@
     }
 }
 
-/** Random bytes and changed requests are refused or parsed with a bounded memory, and the same however they are split.
+/**
+ * Guards against unbounded memory, and a result that depends on how the input is split, with random bytes and changed
+ * requests.
  */
 BOOST_AUTO_TEST_CASE(randomInputIsBounded)
 {
--- a/tests/libsite/testclosedreports.cpp
+++ b/tests/libsite/testclosedreports.cpp
@@ -6,7 +6,7 @@
 
 BOOST_AUTO_TEST_SUITE(ClosedReport)
 
-/** A flood of clients that go over a limit must not fill the log. */
+/** Guards against a flood of clients that exceed a limit and fill the log. */
 BOOST_AUTO_TEST_CASE(oneLineASecondStandsForAll)
 {
     ClosedReports reports;
@@ -25,6 +25,7 @@
     BOOST_TEST(reports.note("callers", "memory", at(5000)).value_or(0) == 2U);
 }
 
+/** Guards against a port or reason that is never logged because another one was logged within the second. */
 BOOST_AUTO_TEST_CASE(portsAndReasonsHaveLinesOfTheirOwn)
 {
     ClosedReports reports;
--- a/tests/libsite/testsitesettings.cpp
+++ b/tests/libsite/testsitesettings.cpp
@@ -38,6 +38,7 @@
     BOOST_TEST(siteFormats(bound).evacuationPrefix.empty());
 }
 
+/** Guards against evacuations that are ignored although the settings have a bound for them. */
 BOOST_AUTO_TEST_CASE(withTheBoundTheOperatorsKeysAreRead)
 {
     const std::optional<Milliseconds> bound = evacuationBoundIn("evacuateMs = 5000\n");
@@ -47,12 +48,15 @@
     BOOST_TEST(siteFormats(bound).evacuationBound.count() == 5000);
 }
 
+/** Guards against a mistyped bound that silently turns evacuations off. */
 BOOST_AUTO_TEST_CASE(aBoundThatIsNoNumberIsAFinding)
 {
     BOOST_TEST(!parseSiteSettings(settingsWith("evacuateMs = \"soon\"\n"), "settings").has_value());
 }
 
-/** A factor cut to a whole number would make a run elsewhere look cheap, and one that is missing must not be made up.
+/**
+ * Guards against a factor that is cut to a whole number, so that a run elsewhere looks cheap, and against a default
+ * where there is none.
  */
 BOOST_AUTO_TEST_CASE(farFactorIsReadAsItStands)
 {
@@ -69,6 +73,7 @@
     }
 }
 
+/** Guards against a factor that makes running elsewhere free, faster or infinitely expensive. */
 BOOST_AUTO_TEST_CASE(wrongFarFactorsAreFindings)
 {
     for (const char *const bounds :
