--- a/tests/processes/endless-clients-daemon.sh
+++ b/tests/processes/endless-clients-daemon.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # The clients of endless-clients.sh against currantringd: its memory and its descriptors stay under the bounds, and a
-# call is served afterwards.
+# call is served afterwards. Guards against buffers and threads that grow with what clients send or don't read.
 script_name=endless-clients-daemon
 . "$(dirname "$0")/common.sh"
 # The bounds. The daemon has a thread for each connection and room for 1,000,000 bytes of body on each.
