--- a/src/currantringd/socketstream.cpp
+++ b/src/currantringd/socketstream.cpp
@@ -194,7 +194,7 @@
 
 void SocketStream::finish()
 {
-    // The request is gone, whatever the other end still sends.
+    // The request is answered; what the other end still sends is discarded and doesn't count.
     releaseRequest();
     shutdown(m_socket, SHUT_WR);
     const auto until = std::chrono::steady_clock::now() + finishTime;
--- a/src/libnet/connectionmemory.h
+++ b/src/libnet/connectionmemory.h
@@ -24,9 +24,9 @@
     /** Notes what the connection @p key holds now. */
     void note(Key key, std::size_t bytes);
     void remove(Key key);
-    /** What all connections hold. */
+    /** Bytes that all connections hold. */
     [[nodiscard]] std::size_t held() const;
-    /** What the connection holds. */
+    /** Bytes that the connection holds; 0 when it is unknown. */
     [[nodiscard]] std::size_t heldBy(Key key) const;
     /** The connection that is to be closed next; nullopt within the budget. */
     [[nodiscard]] std::optional<Key> excess() const;
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -65,9 +65,9 @@
         }
         if (connections.size() < limits.maximumConnections || makeRoom()) {
             add(std::move(socket));
-            keepBudget();
+            enforceBudget();
         } else {
-            tellClosed("connection-limit", 0);
+            reportClosed("connection-limit", 0);
         }
     }
 }
@@ -83,7 +83,7 @@
         return false;
     }
     const ConnectionPointer connection = found->second;
-    tellClosed("connection-limit", connection->notedBytes);
+    reportClosed("connection-limit", connection->notedBytes);
     drop(connection);
     return true;
 }
@@ -118,7 +118,7 @@
             connection->bytes->pauseReading();
         }
         noteMemory(*connection);
-        keepBudget();
+        enforceBudget();
     } else if (connection->ahead.empty()) {
         connection->ahead = bytes.substr(parse(connection, bytes));
         proceed(connection);
@@ -154,7 +154,7 @@
         return;
     }
     noteMemory(*connection);
-    keepBudget();
+    enforceBudget();
     if (!connections.contains(connection->key) || !connection->receiver->isComplete()) {
         return;
     }
@@ -171,7 +171,7 @@
 
 void HttpServer::Private::refuse(const ConnectionPointer &connection, RequestFault fault)
 {
-    tellClosed(requestFaultName(fault), connection->notedBytes);
+    reportClosed(requestFaultName(fault), connection->notedBytes);
     connection->closesAfterResponse = true;
     connection->receiver.reset();
     connection->ahead = std::string();
@@ -193,8 +193,8 @@
     }
     noteMemory(*connection);
     if (memory.excess()) {
-        // The caller may be in the middle of its own work, in which it can't be told that other requests are gone.
-        loop.defer([this] { keepBudget(); });
+        // Deferred, since the caller of respond() may not expect onGone for other requests before it returns.
+        loop.defer([this] { enforceBudget(); });
     }
 }
 
@@ -237,7 +237,8 @@
 void HttpServer::Private::expire(const ConnectionPointer &connection)
 {
     if (connection->phase != Phase::Idle && connections.contains(connection->key)) {
-        tellClosed(connection->phase == Phase::Receiving ? "request-timeout" : "write-timeout", connection->notedBytes);
+        reportClosed(connection->phase == Phase::Receiving ? "request-timeout" : "write-timeout",
+                     connection->notedBytes);
     }
     drop(connection);
 }
@@ -275,16 +276,16 @@
 }
 
 /** Closes connections until the others are within the budget. */
-void HttpServer::Private::keepBudget()
+void HttpServer::Private::enforceBudget()
 {
     for (auto excess = memory.excess(); excess; excess = memory.excess()) {
         const ConnectionPointer connection = connections.at(*excess);
-        tellClosed("memory", connection->notedBytes);
+        reportClosed("memory", connection->notedBytes);
         drop(connection);
     }
 }
 
-void HttpServer::Private::tellClosed(std::string_view reason, std::size_t bytes) const
+void HttpServer::Private::reportClosed(std::string_view reason, std::size_t bytes) const
 {
     if (handlers.onClosed) {
         handlers.onClosed({ reason, bytes, memory.held(), limits.maximumHeldBytes, connections.size() });
--- a/src/libnet/httpserver_p.h
+++ b/src/libnet/httpserver_p.h
@@ -10,6 +10,7 @@
 
 namespace currantring::net {
 
+/** State and connection handling of an HttpServer. Thread safety: the event loop's thread only. */
 struct HttpServer::Private
 {
     /** What a connection waits for. */
@@ -48,8 +49,8 @@
     void expire(const ConnectionPointer &connection);
     void drop(const ConnectionPointer &connection);
     void noteMemory(Connection &connection);
-    void keepBudget();
-    void tellClosed(std::string_view reason, std::size_t bytes) const;
+    void enforceBudget();
+    void reportClosed(std::string_view reason, std::size_t bytes) const;
     [[nodiscard]] Milliseconds idleTimeout() const;
 
     EventLoop &loop;
--- a/src/libnet/httpserverlimits.h
+++ b/src/libnet/httpserverlimits.h
@@ -24,7 +24,7 @@
     std::size_t maximumChunkLineBytes = 16'384;
     /**
      * Sizes, extensions and line ends of all chunks together. They aren't held, but cost processor time. The default
-     * has room for 16 beside each byte of the largest body in chunks of one byte.
+     * allows 16 of these bytes for each byte of a body of the default size in chunks of one byte.
      */
     std::size_t maximumFramingBytes = 4'194'304;
     /** All fields after the last chunk. */
