--- a/src/libjobs/capacityclass.h
+++ b/src/libjobs/capacityclass.h
@@ -5,7 +5,10 @@
 
 namespace currantring {
 
-/** The processors that tasks compete for: those of a service's workers, either counted or what others leave idle. */
+/**
+ * Names the processors that a task competes for: those that a service's workers reserve for tasks, or those that they
+ * leave idle, which best-effort tasks use.
+ */
 struct CapacityClass
 {
     ServiceName service;
@@ -19,8 +22,9 @@
 struct ServiceCapacity
 {
     Millicores total;
-    /** Held by running tasks that count, and asked for by running best-effort tasks. */
+    /** Reserved by running tasks other than best-effort ones. */
     Millicores counted;
+    /** Demanded by running best-effort tasks. */
     Millicores bestEffort;
 };
 
--- a/src/libjobs/evacuationlist.cpp
+++ b/src/libjobs/evacuationlist.cpp
@@ -20,6 +20,7 @@
  * two waits old. A third of the greatest age leaves time to list again after one unanswered watch.
  */
 constexpr int waitsPerMaxAge = 3;
+/** Minimum interval at which a list that is too old is requested again. */
 constexpr Milliseconds refreshInterval { 500 };
 
 } // namespace
--- a/src/libjobs/loadadmission.cpp
+++ b/src/libjobs/loadadmission.cpp
@@ -34,11 +34,11 @@
 /** A shorter wait than the shortest retry time never leads to a refusal, which would cost the caller more. */
 constexpr double minRetryMs = 1000;
 constexpr double maxRetryMs = 60'000;
-/** Work is taken to drain at this fraction of the rate at least, as a burst ends. */
+/** Lower bound of the drain rate as a fraction of the completion rate: a burst of arrivals above that rate ends. */
 constexpr double minDrainFraction = 0.15;
 /** The returns of callers are spread over this fraction of the retry time, and at least over minRetryMs. */
 constexpr double spreadFraction = 0.25;
-/** Keeps sums of estimates of years representable. */
+/** Bound for conversions to integers; sums of estimates may be years. */
 constexpr double maxMs = 1e12;
 
 double flooredMs(Milliseconds estimate)
@@ -61,7 +61,7 @@
     return { queue.service, step.isFiller };
 }
 
-/** End of the critical path when no step begins before @p earliest of it. */
+/** End of the critical path in milliseconds, when no step begins before @p earliest(step). */
 template<typename Earliest>
 double pathMs(const JobSpec &spec, Earliest earliest)
 {
--- a/src/libjobs/loadadmission.h
+++ b/src/libjobs/loadadmission.h
@@ -42,7 +42,7 @@
     bool isAccepted = true;
     /** Whether a prediction was made; the fields below are set only then. */
     bool isPredicted = false;
-    /** Time from now on until the job's first task starts, and until the job is finished, if all goes well. */
+    /** Time until the job's first task starts, and until the job is finished, by an optimistic prediction. */
     Milliseconds wait {};
     Milliseconds finish {};
     Milliseconds objective {};
@@ -92,7 +92,7 @@
     struct Backlog
     {
         WaitingWork work;
-        /** Since when each pass that was looked at has left work waiting. */
+        /** Since when each evaluated pass has left work waiting. */
         TimePoint since {};
         /** The least that any waiting task needs. */
         Millicores leastProcessors { std::numeric_limits<std::int64_t>::max() };
@@ -119,9 +119,11 @@
     struct Wait
     {
         double ms = 0;
+        /** Work that precedes the job, in millicore-milliseconds. */
         double preceding = 0;
+        /** Highest recent rate of completion, in millicores. */
         double rate = 0;
-        /** Mean rate at which work was accepted lately. */
+        /** Mean rate at which work was accepted lately, in millicores. */
         double arrivalRate = 0;
         CapacityClass capacity;
     };
--- a/src/libjobs/racksurvey.cpp
+++ b/src/libjobs/racksurvey.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/** The estimate of a run that has lasted for this multiple of it tells nothing of its end. */
+/** A run that has lasted for this multiple of its estimate is ignored: the estimate doesn't predict its end. */
 constexpr std::int64_t overdueFactor = 2;
 
 /** What a task of @p step takes of a worker's capacity, where the processors of fillers don't count. */
--- a/src/libjobs/rackturnover.cpp
+++ b/src/libjobs/rackturnover.cpp
@@ -7,14 +7,15 @@
 
 namespace {
 
+/** Time over which ends are averaged, when enough runs end in it. */
 constexpr Milliseconds window { 2000 };
 /** Ends that follow each other within this time share a bucket, which bounds the memory for each rack. */
 constexpr Milliseconds bucketLength { 100 };
-/** Older ends are kept up to this number, so that the rate of a slow rack is known to a quarter. */
+/** Ends before the window are kept up to this number, so that the rate of a slow rack has an error of about 25 %. */
 constexpr double minEnds = 16;
 
-/** Weight of what was observed for at least the window, beside what the estimates tell. */
-constexpr double mostWeight = 0.5;
+/** Weight of the observed rate against the estimated one, once observations cover the window. */
+constexpr double maxObservedWeight = 0.5;
 
 double asDouble(Milliseconds duration)
 {
@@ -95,7 +96,7 @@
         return expected;
     }
     const double span = asDouble(now - found->second.since);
-    const double weight = mostWeight * std::min(span / asDouble(window), 1.0);
+    const double weight = maxObservedWeight * std::min(span / asDouble(window), 1.0);
     CapacitySum mean = found->second.freed.times(weight / span);
     mean += expected.times(1 - weight);
     return mean;
--- a/src/libjobs/rackwaitpolicy.cpp
+++ b/src/libjobs/rackwaitpolicy.cpp
@@ -8,17 +8,18 @@
 
 namespace {
 
-/** Upper bound on all waits of a step: an estimate may be too large by any factor. */
+/** Upper bound on the total wait of a step, in milliseconds: an estimate may be too large by any factor. */
 constexpr double maxWait = 3000;
-/** Stands for an estimate that is missing, and bounds the wait of such a step. */
+/** Used in place of a missing estimate, and bounds the wait of such a step; in milliseconds. */
 constexpr double assumedEstimate = 300;
 /** While capacity is short, each millisecond that a run takes longer is one that another task waits longer. */
 constexpr double costFactorWhenShort = 2;
 /**
- * While several steps want a rack, a longer line gets no more of them there, and each place in it delays those behind.
- * Half of the line costs a fifth less in the model of many jobs that want one rack.
+ * Fraction of the cost of running elsewhere that a step waits for while other steps wait for the rack before it. A
+ * longer queue places no more tasks on the rack, and each task in it delays those behind. In the model of many jobs
+ * that want one rack, one half lowers the cost by a fifth.
  */
-constexpr double shareWhenContended = 0.5;
+constexpr double waitFractionWhenContended = 0.5;
 
 bool hasEstimate(const RackWaitInputs &inputs)
 {
@@ -26,9 +27,9 @@
 }
 
 /** How long the step may go on waiting before the wait costs more than running elsewhere. */
-double remainingPatience(const RackWaitInputs &inputs, double costElsewhere)
+double remainingWaitBudget(const RackWaitInputs &inputs, double costElsewhere)
 {
-    const double worthwhile = costElsewhere * (inputs.placesAhead > 0 ? shareWhenContended : 1);
+    const double worthwhile = costElsewhere * (inputs.placesAhead > 0 ? waitFractionWhenContended : 1);
     const double most = std::min(worthwhile, hasEstimate(inputs) ? maxWait : assumedEstimate);
     return most - static_cast<double>(inputs.waited.count());
 }
@@ -37,9 +38,9 @@
  * How long a wait may be expected to last so that the objective is met: where it can be met elsewhere as well, the wait
  * must leave time for that, or half of the slack in case capacity comes free later than expected.
  */
-double objectiveAllows(double slack, double longerRun)
+double maxWaitForObjective(double slack, double extraRunTime)
 {
-    return slack >= longerRun ? std::max(slack - longerRun, slack / 2) : slack;
+    return slack >= extraRunTime ? std::max(slack - extraRunTime, slack / 2) : slack;
 }
 
 /** Expected time until the rack has had @p places free for this step. */
@@ -92,7 +93,7 @@
 }
 
 /** How much longer a task runs on another rack. */
-double RackWaitPolicy::longerRun(const RackWaitInputs &inputs) const
+double RackWaitPolicy::extraRunTime(const RackWaitInputs &inputs) const
 {
     const double estimate = hasEstimate(inputs) ? static_cast<double>(inputs.estimate.count()) : assumedEstimate;
     return estimate * std::max(m_farFactor - 1, 0.0);
@@ -100,9 +101,9 @@
 
 RackWaitDecision RackWaitPolicy::decide(const RackWaitInputs &inputs) const
 {
-    const double ownCost = longerRun(inputs);
+    const double ownExtraRunTime = extraRunTime(inputs);
     RackWaitDecision decision;
-    decision.costElsewhere = ownCost * (inputs.isCapacityShort ? costFactorWhenShort : 1);
+    decision.costElsewhere = ownExtraRunTime * (inputs.isCapacityShort ? costFactorWhenShort : 1);
     decision.expectedWait = timeUntilFree(inputs, inputs.isGang ? static_cast<double>(inputs.tasks) : 1);
     const auto runElsewhere = [&decision](RackWaitReason reason) {
         decision.reason = reason;
@@ -111,22 +112,22 @@
     if (!inputs.canEverFit) {
         return runElsewhere(RackWaitReason::NeverFits);
     }
-    if (!inputs.slack || ownCost <= 0) {
+    if (!inputs.slack || ownExtraRunTime <= 0) {
         return runElsewhere(RackWaitReason::NoCost);
     }
-    const double patience = remainingPatience(inputs, decision.costElsewhere);
-    if (patience <= 0) {
+    const double waitBudget = remainingWaitBudget(inputs, decision.costElsewhere);
+    if (waitBudget <= 0) {
         return runElsewhere(RackWaitReason::WaitedEnough);
     }
-    const double allowed = objectiveAllows(static_cast<double>(inputs.slack->count()), ownCost);
+    const double allowed = maxWaitForObjective(static_cast<double>(inputs.slack->count()), ownExtraRunTime);
     if (allowed <= 0) {
         return runElsewhere(RackWaitReason::NoSlack);
     }
     // While capacity is short, other tasks take each place that comes free before a gang has all of its own.
     const bool isTakenByOthers = inputs.isGang && inputs.isCapacityShort && decision.expectedWait > 0;
-    decision.waiting = isTakenByOthers ? 0 : tasksWithin(inputs, std::min(patience, allowed));
+    decision.waiting = isTakenByOthers ? 0 : tasksWithin(inputs, std::min(waitBudget, allowed));
     if (decision.waiting == 0) {
-        return runElsewhere(allowed < patience && !isTakenByOthers && tasksWithin(inputs, patience) > 0
+        return runElsewhere(allowed < waitBudget && !isTakenByOthers && tasksWithin(inputs, waitBudget) > 0
                                 ? RackWaitReason::NoSlack
                                 : RackWaitReason::TooSlow);
     }
--- a/src/libjobs/rackwaitpolicy.h
+++ b/src/libjobs/rackwaitpolicy.h
@@ -83,7 +83,7 @@
     [[nodiscard]] RackWaitDecision decide(const RackWaitInputs &inputs) const;
 
 private:
-    [[nodiscard]] double longerRun(const RackWaitInputs &inputs) const;
+    [[nodiscard]] double extraRunTime(const RackWaitInputs &inputs) const;
 
     double m_farFactor;
 };
--- a/src/libjobs/rackwaits.cpp
+++ b/src/libjobs/rackwaits.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-/** Interval at which the runs on a rack are read; they are many, and reading them in each pass takes half of it. */
-constexpr Milliseconds expectedInterval { 100 };
+/** Minimum interval between reads of the runs on a rack; reading them in each pass takes half of the pass's time. */
+constexpr Milliseconds expectedEndsInterval { 100 };
 
-/** Log fields hold whole milliseconds; -1 stands for an infinite or unknown time. */
-std::string wholeMilliseconds(double duration)
+/** Rounds the value of a log field; -1 stands for an infinite or unknown value. */
+std::string roundedValue(double value)
 {
-    return std::to_string(std::isfinite(duration) ? std::llround(duration) : -1);
+    return std::to_string(std::isfinite(value) ? std::llround(value) : -1);
 }
 
 std::string describeStep(const StepRef &step)
@@ -59,7 +59,7 @@
 
 void RackWaits::noteEnd(const WorkerLink &link, const LiveRun &run)
 {
-    // What comes free on a worker that takes no new work serves nobody.
+    // Capacity that comes free on a worker that takes no new work can't be used.
     if (run.step && m_fleet.isSchedulable(link)) {
         m_turnover.noteEnd(link.entry().rack, *run.step, m_context.now());
     }
@@ -68,7 +68,7 @@
 void RackWaits::noteShortage(const StepSpec &step)
 {
     bool &isShort = step.isFiller ? m_shortage.isOfFillers : m_shortage.isOfOthers;
-    // A task that is too large for every worker takes nothing from others.
+    // A task that is too large for every worker doesn't compete with others for capacity.
     isShort = isShort || std::ranges::any_of(m_fleet.links(), [this, &step](const auto &entry) {
                   return step.isFiller
                       || (entry.second->entry().capacity.covers(step.need) && m_fleet.isSchedulable(*entry.second));
@@ -93,7 +93,7 @@
 {
     const TimePoint now = m_context.now();
     const auto [found, isNew] = m_expected.try_emplace(rack);
-    if (isNew || now - found->second.first >= expectedInterval) {
+    if (isNew || now - found->second.first >= expectedEndsInterval) {
         found->second = { now, survey().expectedEnds(rack) };
     }
     return found->second.second;
@@ -104,7 +104,7 @@
     return survey().isFull(step, rack);
 }
 
-/** @p maxFree: bound on the free places that count. */
+/** Applies the policy to one rack; at most @p maxFree of its free places are counted. */
 RackWaits::Outlook RackWaits::outlookOn(const RackCandidate &candidate, const Label &rack, std::size_t maxFree)
 {
     const StepSpec &step = candidate.step;
@@ -188,11 +188,11 @@
                     { "tasks", std::to_string(candidate.tasks) },
                     { "waiting", std::to_string(outlook.decision.waiting) },
                     { "reason", std::string(rackWaitReasonName(outlook.decision.reason)) },
-                    { "expected_ms", wholeMilliseconds(outlook.decision.expectedWait) },
-                    { "elsewhere_ms", wholeMilliseconds(outlook.decision.costElsewhere) },
+                    { "expected_ms", roundedValue(outlook.decision.expectedWait) },
+                    { "elsewhere_ms", roundedValue(outlook.decision.costElsewhere) },
                     { "slack_ms", inputs.slack ? std::to_string(inputs.slack->count()) : "none" },
-                    { "ahead", wholeMilliseconds(inputs.placesAhead) },
-                    { "freed_per_s", wholeMilliseconds(inputs.placesPerMs * msPerSecond) },
+                    { "ahead", roundedValue(inputs.placesAhead) },
+                    { "freed_per_s", roundedValue(inputs.placesPerMs * msPerSecond) },
                     { "short", inputs.isCapacityShort ? "yes" : "no" } });
 }
 
--- a/src/libjobs/rackwaits.h
+++ b/src/libjobs/rackwaits.h
@@ -45,7 +45,7 @@
 
     /** A placement pass begins. */
     void beginPass();
-    /** The pass goes through the steps from the first one on; what was placed out of order is left aside. */
+    /** The pass starts to place steps by urgency; what was counted for steps placed out of order is discarded. */
     void beginOrder();
     /** A run has ended at the worker. */
     void noteEnd(const WorkerLink &link, const LiveRun &run);
@@ -69,12 +69,14 @@
     [[nodiscard]] bool hasWaiting() const;
 
 private:
+    /** What the policy decides for one rack, and from which inputs. */
     struct Outlook
     {
         Label rack;
         RackWaitInputs inputs;
         RackWaitDecision decision;
     };
+    /** Whether fillers, or other tasks, found no room on any worker. */
     struct Shortage
     {
         bool isOfFillers = false;
@@ -94,10 +96,11 @@
     RackTurnover m_turnover;
     /** Valid within one pass. */
     std::optional<RackSurvey> m_survey;
-    /** What is expected by the runs on a rack, and when that was read. */
+    /** Expected ends of the runs on a rack, and when they were read. */
     std::map<Label, std::pair<TimePoint, ExpectedEnds>> m_expected;
     /** Need of the waiting tasks that precede, by rack and whether they are fillers. */
     std::map<std::pair<Label, bool>, CapacitySum> m_ahead;
+    /** In the present pass, and in the one before. */
     Shortage m_shortage;
     Shortage m_lastShortage;
     bool m_hasWaiting = false;
--- a/src/libjobs/refusedwork.cpp
+++ b/src/libjobs/refusedwork.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+/** Bounds the memory of the list. */
 constexpr std::size_t maxJobs = 4096;
 
 } // namespace
--- a/src/libjobs/refusedwork.h
+++ b/src/libjobs/refusedwork.h
@@ -18,7 +18,10 @@
 class RefusedWork
 {
 public:
-    /** Notes that @p job will return at @p returnsAt with @p work; replaces what was noted of it before. */
+    /**
+     * Notes that @p job will return at @p returnsAt with @p work, in millicore-milliseconds; replaces its earlier
+     * entry.
+     */
     void note(const JobId &job, const CapacityClass &capacity, std::uint32_t priority, double work,
               TimePoint returnsAt);
     void forget(const JobId &job);
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/** Where the cost of running elsewhere isn't known: bounds of the wait for a rack, which otherwise is the estimate. */
+/** Bounds of the wait for a rack where the cost of running elsewhere isn't known; within them it is the estimate. */
 constexpr Milliseconds minRackWait { 300 };
 constexpr Milliseconds maxRackWait { 3000 };
 /** Minimum time between passes; tasks that become ready in between are placed in one batch. */
@@ -19,12 +19,11 @@
 constexpr std::size_t maxAdmissionTries = 8;
 /** Tasks with constraints of their own for which one pass looks for a worker in vain, in each step. */
 constexpr std::size_t maxConstrainedTries = 8;
-/** Fillers that no worker has taken for this time, though most of the service is unused, may be placed to be throttled.
- */
+/** After this wait, while most of the service is unused, fillers may be placed where they may be throttled. */
 constexpr Milliseconds unthrottledWait { 2000 };
 /** Interval at which steps that have no worker to ask for are looked at again. */
 constexpr Milliseconds admissionRetryInterval { 100 };
-/** A step that has waited for longer lacks something that no end of other tasks provides. */
+/** A step that has waited for longer is taken to lack something other than capacity that running tasks hold. */
 constexpr Milliseconds maxCapacityWait { 30'000 };
 
 } // namespace
@@ -124,7 +123,7 @@
         placeStep(step);
     }
     askAdmission();
-    lookAgainForRacks();
+    scheduleRackRetry();
     reportLeftWork();
 }
 
@@ -183,7 +182,7 @@
     }
 }
 
-/** Whether the step may wait for something that other jobs needn't wait for. */
+/** Whether the step may wait for something other than processors; load admission doesn't count such steps. */
 bool RunStarter::mayLackOtherThanProcessors(const ReadyStep &ready, const QueueEntry &queue) const
 {
     const StepSpec &step = *ready.step;
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -120,7 +120,7 @@
                                               std::vector<Label> racks) const;
     void noteNoRoom(const PlacementRequest &request);
     void notePlacedOnRack(const StepRef &step, const StepSpec &spec, const WorkerLink &link);
-    void lookAgainForRacks();
+    void scheduleRackRetry();
     [[nodiscard]] std::size_t waitingTasksOf(const StepRef &step) const;
     [[nodiscard]] std::string_view obstacleToStart(const TaskRef &task, const Job &job, const WorkerLink &link,
                                                    const std::string &ticket) const;
--- a/src/libjobs/runstarterracks.cpp
+++ b/src/libjobs/runstarterracks.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** Interval at which steps that wait for a rack are looked at again when nothing else happens. */
+/** Time until a further pass when steps wait for a rack and no event causes one before. */
 constexpr Milliseconds rackRetryInterval { 50 };
 
 } // namespace
@@ -57,8 +57,8 @@
     return candidate;
 }
 
-/** Looks at the steps that wait for a rack again soon, as a wait may have to end though nothing happens. */
-void RunStarter::lookAgainForRacks()
+/** Schedules a further pass while steps wait for a rack, as a wait may reach its limit without any event. */
+void RunStarter::scheduleRackRetry()
 {
     if (m_rackWaits && m_rackWaits->hasWaiting() && !std::exchange(m_isRackRetryScheduled, true)) {
         m_parts.context.schedule(rackRetryInterval, m_lifetime.guard([this] {
@@ -99,7 +99,7 @@
 void RunStarter::noteNoRoom(const PlacementRequest &request)
 {
     m_noRoom.recordNoRoom(request);
-    // Only what any worker may take tells that capacity is short.
+    // Only a task that any worker of the service may take shows that capacity is short.
     if (m_rackWaits && !request.isRackNeeded && m_noRoom.isKnownNotToFit(request)) {
         m_rackWaits->noteShortage(request.step);
     }
--- a/src/libjobs/waitingwork.h
+++ b/src/libjobs/waitingwork.h
@@ -16,6 +16,7 @@
 class WaitingWork
 {
 public:
+    /** In millicore-milliseconds. */
     struct Amount
     {
         /** Work of tasks that could start now. */
@@ -28,7 +29,10 @@
     void add(const JobUrgency &urgency, const Amount &work);
     /** Computes the sums; to be called after the last add(). */
     void sum();
-    /** The waiting work that precedes a job with this urgency, or is equal to it but for the latest start. */
+    /**
+     * The waiting work that precedes a job with this urgency, or differs from it in the latest start at most.
+     * Precondition: sum() was called after the last add().
+     */
     [[nodiscard]] Amount preceding(const JobUrgency &urgency) const;
 
 private:
--- a/src/libjobs/workrate.cpp
+++ b/src/libjobs/workrate.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+/** Resolution of the record, in milliseconds. */
 constexpr std::int64_t slotMs = 500;
 /** Slots whose mean is taken: workers report ends in groups, which a shorter time would mistake for a high rate. */
 constexpr std::int64_t slotsInMean = 4;
