--- a/src/currantringd/httpfront.cpp
+++ b/src/currantringd/httpfront.cpp
@@ -187,7 +187,7 @@
         }
         const SocketStream *stream = LimitedServer::currentStream();
         if (stream != nullptr && stream->isOverBudget()) {
-            // It wasn't whole, so nothing of it was run.
+            // The request was incomplete, so no part of it was run.
             m_parts.metrics.countReason("requests_refused", "memory-limit");
             writeLog({ LogLevel::Warning, "request_refused", { { "reason", "memory-limit" } } });
             answer(response, ReplyCode::NotRun, outcomeBody(ReplyCode::NotRun, "memory-limit"), "application/json");
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -482,8 +482,9 @@
         }
         requireTicket(step, queue, *request);
         request->rack = rackOf(step, *ready.step);
-        request->isRackNeeded = use == RackUse::FixedWait ? isWaitingForRack(ready, request->rack)
-                                                          : use == RackUse::OnlyThere && !request->rack.value().empty();
+        request->isRackNeeded = use == RackUse::FixedWait
+            ? isWaitingForRack(ready, request->rack)
+            : use == RackUse::OnlyOnRack && !request->rack.value().empty();
         request->throttling = throttling;
         WorkerLink *const link = choose(*request, costs);
         if (link == nullptr) {
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -65,7 +65,7 @@
     [[nodiscard]] bool isOpen(const TaskRef &task) const;
     /** Number of the job's tasks that wait for a worker. */
     [[nodiscard]] std::size_t waitingTasks(const JobId &job) const;
-    /** Number of steps that tasks wait of, or that tickets or decisions are kept for. */
+    /** Number of steps with waiting tasks, and of steps for which tickets or decisions are kept. */
     [[nodiscard]] std::size_t trackedSteps() const;
     /** The placement request of a task; nullopt when its queue or job is unknown. */
     [[nodiscard]] std::optional<PlacementRequest> requestFor(const TaskRef &task, const StepSpec &step,
@@ -83,7 +83,9 @@
     enum class RackUse {
         /** On the rack until the step has waited for a fixed time. */
         FixedWait,
-        OnlyThere,
+        /** On the rack or not at all. */
+        OnlyOnRack,
+        /** On any worker; those outside of the rack cost more. */
         Preferred,
     };
 
--- a/src/libjobs/runstarterracks.cpp
+++ b/src/libjobs/runstarterracks.cpp
@@ -79,7 +79,7 @@
     }
     const Label first = rackOf(step, *ready.step);
     if (first.value().empty() || !m_rackWaits->isFull(*ready.step, first)) {
-        placeEach(step, ready, RackUse::OnlyThere, ready.tasks.size());
+        placeEach(step, ready, RackUse::OnlyOnRack, ready.tasks.size());
     }
     const auto rest = m_ready.steps().find(step);
     if (rest == m_ready.steps().end()) {
--- a/src/libjobs/waitingwork.h
+++ b/src/libjobs/waitingwork.h
@@ -44,6 +44,7 @@
         /** Before sum(): the work of the entry; after it: that of all entries up to this one. */
         Amount work;
 
+        /** Without the kind of work, as lasting work isn't added. */
         [[nodiscard]] auto rank() const
         {
             return std::tuple(priority, deadlineState, scaledWork);
--- a/src/libnet/byteconnection.h
+++ b/src/libnet/byteconnection.h
@@ -40,7 +40,7 @@
     void takeArrived();
     /** Whether bytes are kept for later. */
     [[nodiscard]] bool hasUnsent() const;
-    /** Memory that bytes kept for later take. */
+    /** Allocated size of the buffer of unsent bytes; 0 when all bytes are sent. */
     [[nodiscard]] std::size_t unsentBytes() const;
     /** Stops taking bytes in until resumeReading(). */
     void pauseReading();
--- a/src/libpeer/http2session.cpp
+++ b/src/libpeer/http2session.cpp
@@ -221,7 +221,7 @@
         return;
     }
     const auto incoming = m_incoming.find(stream);
-    // A longer value is none that is taken, and mustn't be held for each of many streams.
+    // No accepted value is longer; dropping longer ones bounds the memory of many streams.
     if (incoming == m_incoming.end() || value.size() > maximumHeldValueBytes) {
         return;
     }
