Split RunStarter by its concerns, and calculate a job's objective in one place

The objective and the multiple of it up to which a job is late stood in joburgency.cpp, rackwaits.cpp, loadadmission.cpp and two models of the tests.

--- a/src/libjobs/joburgency.cpp
+++ b/src/libjobs/joburgency.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/** A job that misses its objective counts as overdue beyond this multiple of it. */
-constexpr std::int64_t lateFactor = 3;
-
 /**
  * Factor on the estimates of best-effort steps when a job is judged on time: a step ends with its slowest run, and
  * best-effort tasks share processors and may be throttled or moved.
@@ -89,6 +86,19 @@
     return whole > 0 ? remaining / std::sqrt(whole) : 0;
 }
 
+/** Since when the latency of an occurrence counts, in milliseconds of the wall clock. */
+std::int64_t beginOf(const Job &job, std::uint32_t occurrence)
+{
+    return job.spec->schedule ? job.spec->schedule->first.value() + job.spec->schedule->interval.count() * occurrence
+                              : job.acceptedAt.value();
+}
+
+std::int64_t objectiveOf(const PathDurations &path, const QueueEntry &queue)
+{
+    return static_cast<std::int64_t>(static_cast<double>(path.whole.count()) * queue.stretch)
+        + queue.targetLatency.count();
+}
+
 } // namespace
 
 Milliseconds criticalPath(const JobSpec &spec)
@@ -101,14 +111,17 @@
     return pathDurations(job, occurrence).remaining;
 }
 
+WallTime latestStartFor(const Job &job, std::uint32_t occurrence, const QueueEntry &queue)
+{
+    const PathDurations path = pathDurations(job, occurrence);
+    return WallTime(beginOf(job, occurrence) + objectiveOf(path, queue) - path.remaining.count());
+}
+
 JobUrgency urgencyOf(const Job &job, std::uint32_t occurrence, const QueueEntry &queue, WallTime now)
 {
-    const std::int64_t since = job.spec->schedule
-        ? job.spec->schedule->first.value() + job.spec->schedule->interval.count() * occurrence
-        : job.acceptedAt.value();
+    const std::int64_t since = beginOf(job, occurrence);
     const PathDurations path = pathDurations(job, occurrence);
-    const std::int64_t objective = static_cast<std::int64_t>(static_cast<double>(path.whole.count()) * queue.stretch)
-        + queue.targetLatency.count();
+    const std::int64_t objective = objectiveOf(path, queue);
     const std::int64_t latestOnTime = since + objective - path.cautious.count();
     const std::int64_t latest = since + lateFactor * objective - path.remaining.count();
     if (now.value() > latest) {
--- a/src/libjobs/joburgency.h
+++ b/src/libjobs/joburgency.h
@@ -12,6 +12,14 @@
 /** The same for the unfinished steps of an occurrence. Precondition: it has begun. Thread safety: reentrant. */
 Milliseconds remainingCriticalPath(const Job &job, std::uint32_t occurrence);
 
+/**
+ * When the remaining work of an occurrence has to start so that it meets its objective. Precondition: it has begun.
+ * Thread safety: reentrant.
+ */
+WallTime latestStartFor(const Job &job, std::uint32_t occurrence, const QueueEntry &queue);
+/** A job that misses its objective has no value to its caller beyond this multiple of it. */
+constexpr std::int64_t lateFactor = 3;
+
 /** How a job stands to its latency objective. */
 enum class DeadlineState {
     /** The job can finish within its objective. */
--- a/src/libjobs/loadadmission.cpp
+++ b/src/libjobs/loadadmission.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/** A job finished later than this multiple of its objective has no value to its caller. */
-constexpr double lateFactor = 3;
 /** Estimates may be missing; a task is taken to last at least this long. */
 constexpr Milliseconds minEstimate { 50 };
 /** A task isn't counted as longer than this multiple of the recent mean, as its estimate may be days. */
--- a/src/libjobs/rackwaits.cpp
+++ b/src/libjobs/rackwaits.cpp
@@ -28,12 +28,7 @@
 
 Milliseconds slackToObjective(const Job &job, std::uint32_t occurrence, const QueueEntry &queue, WallTime now)
 {
-    const std::int64_t since = job.spec->schedule
-        ? job.spec->schedule->first.value() + job.spec->schedule->interval.count() * occurrence
-        : job.acceptedAt.value();
-    const auto path = static_cast<double>(criticalPath(*job.spec).count());
-    const auto objective = static_cast<std::int64_t>(path * queue.stretch) + queue.targetLatency.count();
-    return Milliseconds(since + objective - remainingCriticalPath(job, occurrence).count() - now.value());
+    return Milliseconds(latestStartFor(job, occurrence, queue).value() - now.value());
 }
 
 RackWaits::RackWaits(double farFactor, const WorkerFleet &fleet, JobContext &context)
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -10,21 +10,12 @@
 
 namespace {
 
-/** Bounds of the wait for a rack where the cost of running elsewhere isn't known; within them it is the estimate. */
-constexpr Milliseconds minRackWait { 300 };
-constexpr Milliseconds maxRackWait { 3000 };
 /** Minimum time between passes; tasks that become ready in between are placed in one batch. */
 constexpr Milliseconds passInterval { 20 };
-/** Steps without a worker to ask for that one pass goes through to find one with. */
-constexpr std::size_t maxAdmissionTries = 8;
 /** Tasks with constraints of their own for which one pass looks for a worker in vain, in each step. */
 constexpr std::size_t maxConstrainedTries = 8;
 /** After this wait, while most of the service is unused, fillers may be placed where they may be throttled. */
 constexpr Milliseconds unthrottledWait { 2000 };
-/** Interval at which steps that have no worker to ask for are looked at again. */
-constexpr Milliseconds admissionRetryInterval { 100 };
-/** A step that has waited for longer is taken to lack something other than capacity that running tasks hold. */
-constexpr Milliseconds maxCapacityWait { 30'000 };
 
 } // namespace
 
@@ -127,87 +118,6 @@
     reportLeftWork();
 }
 
-/** Passes on what this pass left waiting, which the admission of further jobs under load depends on. */
-void RunStarter::reportLeftWork()
-{
-    if (m_parts.loadAdmission.needsLeftWork(m_ready.steps().size(), m_parts.context.now())) {
-        m_parts.loadAdmission.takeLeftWork(leftWork());
-    }
-}
-
-LeftWork RunStarter::leftWork() const
-{
-    LeftWork left { m_parts.context.now(), {}, {} };
-    const StepRef *previous = nullptr;
-    for (const auto &[step, ready] : m_ready.steps()) {
-        const Job *const job = m_parts.log.table().find(step.job);
-        const QueueEntry *const queue = m_parts.queues.find(ready.queue);
-        if (job == nullptr || queue == nullptr || mayLackOtherThanProcessors(ready, *queue)) {
-            continue;
-        }
-        const bool isFirstOfJob =
-            previous == nullptr || previous->job != step.job || previous->occurrence != step.occurrence;
-        previous = &step;
-        const WaitingStep waiting { true,
-                                    { queue->service, ready.step->isFiller },
-                                    urgencyOfStep(step, ready, *job, *queue),
-                                    ready.queue,
-                                    ready.tasks.size(),
-                                    ready.step->need,
-                                    ready.step->estimate };
-        left.steps.push_back(waiting);
-        if (isFirstOfJob) {
-            addLaterSteps(*job, step.occurrence, waiting, left);
-        }
-    }
-    if (!left.steps.empty()) {
-        left.capacity = capacityOfServices();
-    }
-    return left;
-}
-
-/** Adds the steps of the job that aren't open yet; @p like: one of its steps that is. */
-void RunStarter::addLaterSteps(const Job &job, std::uint32_t occurrence, WaitingStep like, LeftWork &left)
-{
-    like.isOpen = false;
-    for (std::uint32_t index = 0; index < job.spec->steps.size(); ++index) {
-        const StepSpec &step = job.spec->steps[index];
-        if (!job.isStepOpen(occurrence, index) && !step.isLasting) {
-            like.capacity.isBestEffort = step.isFiller;
-            like.tasks = step.count;
-            like.need = step.need;
-            like.estimate = step.estimate;
-            left.steps.push_back(like);
-        }
-    }
-}
-
-/** Whether the step may wait for something other than processors; load admission doesn't count such steps. */
-bool RunStarter::mayLackOtherThanProcessors(const ReadyStep &ready, const QueueEntry &queue) const
-{
-    const StepSpec &step = *ready.step;
-    const Milliseconds waited = m_parts.context.now() - ready.since;
-    const bool prefersRack = !step.dataRack.value().empty() || step.wantsOneRack;
-    return step.isLasting || step.isGang || queue.admission || !step.requiredLabel.value().empty()
-        || step.need.accelerators.value() > 0 || step.spreadLimit > 0 || (prefersRack && waited < maxRackWait)
-        || waited > maxCapacityWait;
-}
-
-std::map<ServiceName, ServiceCapacity> RunStarter::capacityOfServices() const
-{
-    std::map<ServiceName, ServiceCapacity> services;
-    for (const auto &[id, link] : m_parts.fleet.links()) {
-        if (m_parts.fleet.isSchedulable(*link)) {
-            ServiceCapacity &service = services[link->entry().service];
-            const ReservedResources &reserved = link->reservedResources();
-            service.total = Millicores(service.total.value() + link->entry().capacity.processors.value());
-            service.counted = Millicores(service.counted.value() + reserved.held().processors.value());
-            service.bestEffort = Millicores(service.bestEffort.value() + reserved.fillerDemand().value());
-        }
-    }
-    return services;
-}
-
 /** The steps that may be placed, or that tickets may be requested for now, in order of urgency. */
 std::vector<StepRef> RunStarter::stepsByUrgency() const
 {
@@ -228,94 +138,12 @@
     return steps;
 }
 
-/** Places the step whose tickets have just come before others take the room that they were requested for. */
-void RunStarter::placeAnswered()
-{
-    const std::optional<StepRef> step = m_admission.takeAnswered();
-    if (!step) {
-        return;
-    }
-    const std::size_t before = waitingTasksOf(*step);
-    if (before == 0) {
-        return;
-    }
-    placeStep(*step);
-    const bool isGang = m_ready.steps().contains(*step) && m_ready.steps().at(*step).step->isGang;
-    if (waitingTasksOf(*step) < before) {
-        m_admission.noteUse(*step, AdmissionUse::Started);
-    } else {
-        m_admission.noteUse(*step, isGang ? AdmissionUse::Incomplete : AdmissionUse::NotPlaced);
-    }
-}
-
 std::size_t RunStarter::waitingTasksOf(const StepRef &step) const
 {
     const auto ready = m_ready.steps().find(step);
     return ready == m_ready.steps().end() ? 0 : ready->second.tasks.size();
 }
 
-/** Requests tickets for one of the steps that this pass couldn't place for want of them. */
-void RunStarter::askAdmission()
-{
-    std::size_t tries = 0;
-    for (const StepRef &step : m_admission.turns(m_waitingForTickets)) {
-        const std::optional<AdmissionDemand> demand = admissionDemand(step, m_ready.steps().at(step));
-        if (demand) {
-            m_admission.ask(*demand);
-            return;
-        }
-        m_admission.postpone(step);
-        if (++tries == maxAdmissionTries) {
-            break;
-        }
-    }
-    if (!m_waitingForTickets.empty() && !std::exchange(m_isRetryScheduled, true)) {
-        m_parts.context.schedule(admissionRetryInterval, m_lifetime.guard([this] {
-            m_isRetryScheduled = false;
-            requestPass();
-        }));
-    }
-}
-
-/** Nullopt when no request can lead to a start at present. */
-std::optional<AdmissionDemand> RunStarter::admissionDemand(const StepRef &step, const ReadyStep &ready)
-{
-    const QueueEntry &queue = *m_parts.queues.find(ready.queue);
-    std::optional<PlacementRequest> request = requestFor({ step, *ready.tasks.begin() }, *ready.step, ready.queue);
-    if (!request) {
-        return std::nullopt;
-    }
-    const std::size_t wanted = ready.tasks.size();
-    request->rack = rackOf(step, *ready.step);
-    if (ready.step->isGang && request->rack.value().empty() && ready.step->wantsOneRack) {
-        const std::vector<Label> racks = m_parts.placer.racks(request->service);
-        request->rack = racks.empty() ? Label() : racks.front();
-    }
-    request->isRackNeeded = !ready.step->isGang && wantsOnlyRack(step, ready, request->rack);
-    std::size_t admittedRoom = 0;
-    if (ready.step->isGang) {
-        requireTicket(step, queue, *request);
-        for (const WorkerLink *const link : m_parts.placer.candidates(*request, m_parts.context.now())) {
-            admittedRoom += RunPlacer::roomFor(*request, *link, wanted);
-        }
-    }
-    request->isAdmitted = [this, &step](const WorkerLink &link) {
-        return m_admission.mayObtainTicket(step, link.entry().id, link.life());
-    };
-    AdmissionDemand demand { step, queue.name, *queue.admission, {}, {} };
-    std::size_t room = admittedRoom;
-    for (const WorkerLink *const link : m_parts.placer.candidates(*request, m_parts.context.now())) {
-        demand.candidates.push_back({ link->entry().id, link->life(), RunPlacer::roomFor(*request, *link, wanted) });
-        room += demand.candidates.back().slots;
-    }
-    const bool isOfNoUse = ready.step->isGang && (room < wanted || admittedRoom >= wanted);
-    if (demand.candidates.empty() || isOfNoUse) {
-        return std::nullopt;
-    }
-    demand.need = { ready.step->isGang ? wanted - admittedRoom : wanted, ready.step->isGang };
-    return demand;
-}
-
 /**
  * Fillers whose image disturbs the serving tasks of all workers would wait for as long as those run. While most of the
  * service is unused they run throttled instead.
@@ -332,36 +160,6 @@
     return place->second ? FillerThrottling::Accepted : FillerThrottling::Avoided;
 }
 
-bool RunStarter::mayWaitForRack(const ReadyStep &ready) const
-{
-    return m_parts.context.now() - ready.since < std::clamp(ready.step->estimate, minRackWait, maxRackWait);
-}
-
-bool RunStarter::isWaitingForRack(const ReadyStep &ready, const Label &rack) const
-{
-    return !rack.value().empty() && mayWaitForRack(ready) && !isRackAbsent(rack);
-}
-
-void RunStarter::noteSchedulableRacks()
-{
-    m_schedulableLabels.clear();
-    if (m_parts.evacuations.evacuations().empty()) {
-        return;
-    }
-    for (const auto &[id, link] : m_parts.fleet.links()) {
-        if (m_parts.fleet.isSchedulable(*link)) {
-            m_schedulableLabels.insert(link->entry().labels.begin(), link->entry().labels.end());
-        }
-    }
-}
-
-/** Whether waiting for a rack is futile, as an evacuation is under way and none of the rack's workers is schedulable.
- */
-bool RunStarter::isRackAbsent(const Label &rack) const
-{
-    return !m_parts.evacuations.evacuations().empty() && !m_schedulableLabels.contains(rack);
-}
-
 JobUrgency RunStarter::urgencyOfStep(const StepRef &step, const ReadyStep &ready, const Job &job,
                                      const QueueEntry &queue) const
 {
@@ -412,46 +210,6 @@
     return request;
 }
 
-/** The preferred rack of a step's tasks: that of its data, or that of its other tasks. */
-Label RunStarter::rackOf(const StepRef &step, const StepSpec &spec) const
-{
-    if (!spec.dataRack.value().empty() || !spec.wantsOneRack) {
-        return spec.dataRack;
-    }
-    for (std::uint32_t index = 0; index < spec.count; ++index) {
-        for (const PlacedRun &run : task({ step, index }).runs) {
-            if (const WorkerLink *const link = m_parts.fleet.find(run.worker)) {
-                return link->entry().rack;
-            }
-        }
-    }
-    return {};
-}
-
-/** Restricts @p request to workers that have admitted the step, if its queue requires admission. */
-void RunStarter::requireTicket(const StepRef &step, const QueueEntry &queue, PlacementRequest &request) const
-{
-    if (queue.admission) {
-        request.isAdmitted = [this, &step](const WorkerLink &link) {
-            return m_admission.isAdmitted(step, link.entry().id, link.life());
-        };
-    }
-}
-
-/** Whether the step can't be placed as no worker has admitted it. */
-bool RunStarter::lacksTickets(const StepRef &step, const QueueEntry &queue) const
-{
-    return queue.admission && !m_admission.hasTickets(step);
-}
-
-/** Notes that a step wasn't placed completely, so that tickets are requested if its queue requires admission. */
-void RunStarter::waitForTickets(const StepRef &step, const QueueEntry &queue)
-{
-    if (queue.admission) {
-        m_waitingForTickets.push_back(step);
-    }
-}
-
 void RunStarter::placeTasks(const StepRef &step, const ReadyStep &ready)
 {
     const QueueEntry *const queue = m_parts.queues.find(ready.queue);
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -89,6 +89,9 @@
         Preferred,
     };
 
+    /** Longest wait for a rack. */
+    static constexpr Milliseconds maxRackWait { 3000 };
+
     void pass();
     void reportLeftWork();
     [[nodiscard]] LeftWork leftWork() const;
--- a/src/libjobs/runstarterracks.cpp
+++ b/src/libjobs/runstarterracks.cpp
@@ -1,13 +1,16 @@
-// The part of RunStarter that places steps by RackWaits.
+// The part of RunStarter that decides which steps wait for a rack.
 
 #include "runstarter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace currantring {
 
 namespace {
 
+/** Shortest wait for a rack where the cost of running elsewhere isn't known; up to maxRackWait it is the estimate. */
+constexpr Milliseconds minRackWait { 300 };
 /** Time until a further pass when steps wait for a rack and no event causes one before. */
 constexpr Milliseconds rackRetryInterval { 50 };
 
@@ -117,4 +120,50 @@
     m_rackWaits->notePlaced(step, isFirst ? link.entry().rack : rack, link);
 }
 
+bool RunStarter::mayWaitForRack(const ReadyStep &ready) const
+{
+    return m_parts.context.now() - ready.since < std::clamp(ready.step->estimate, minRackWait, maxRackWait);
+}
+
+bool RunStarter::isWaitingForRack(const ReadyStep &ready, const Label &rack) const
+{
+    return !rack.value().empty() && mayWaitForRack(ready) && !isRackAbsent(rack);
+}
+
+void RunStarter::noteSchedulableRacks()
+{
+    m_schedulableLabels.clear();
+    if (m_parts.evacuations.evacuations().empty()) {
+        return;
+    }
+    for (const auto &[id, link] : m_parts.fleet.links()) {
+        if (m_parts.fleet.isSchedulable(*link)) {
+            m_schedulableLabels.insert(link->entry().labels.begin(), link->entry().labels.end());
+        }
+    }
+}
+
+/** Whether waiting for a rack is futile, as an evacuation is under way and none of the rack's workers is schedulable.
+ */
+bool RunStarter::isRackAbsent(const Label &rack) const
+{
+    return !m_parts.evacuations.evacuations().empty() && !m_schedulableLabels.contains(rack);
+}
+
+/** The preferred rack of a step's tasks: that of its data, or that of its other tasks. */
+Label RunStarter::rackOf(const StepRef &step, const StepSpec &spec) const
+{
+    if (!spec.dataRack.value().empty() || !spec.wantsOneRack) {
+        return spec.dataRack;
+    }
+    for (std::uint32_t index = 0; index < spec.count; ++index) {
+        for (const PlacedRun &run : task({ step, index }).runs) {
+            if (const WorkerLink *const link = m_parts.fleet.find(run.worker)) {
+                return link->entry().rack;
+            }
+        }
+    }
+    return {};
+}
+
 } // namespace currantring
--- a/tests/libjobs/admissionloadmodel.cpp
+++ b/tests/libjobs/admissionloadmodel.cpp
@@ -16,7 +16,6 @@
 constexpr TimePoint end { Milliseconds(120'000) };
 constexpr int maxAttempts = 5;
 constexpr Milliseconds impatience { 200 };
-constexpr double lateFactor = 3;
 
 double coreSeconds(Millicores processors, Milliseconds duration)
 {
--- a/tests/libjobs/loadmodel.h
+++ b/tests/libjobs/loadmodel.h
@@ -119,9 +119,6 @@
 /** The order of waiting work that is played, as urgencyOf() gives it. */
 using Order = std::function<JobUrgency(const Job &, std::uint32_t, const QueueEntry &, WallTime)>;
 
-/** A job that misses its objective counts as late up to this multiple of it. */
-constexpr std::int64_t lateFactor = 3;
-
 /** Time from acceptance in which a job should finish, in milliseconds. */
 std::int64_t objectiveOf(const JobSpec &spec, const QueueEntry &queue);
 
