End idle connections of currantringd while others wait

Callers saw: 512 connections, each with a request now and then, kept all threads of the callers' listener; of 40 ordinary calls none was served.

With a request each 200 ms it holds it for 1,000 requests.

Change: while connections wait for a thread, the one that is idle for longest is ended (IdleConnections), and a connection that has had its answer is kept only if its next request has already come. Requests under way and requests that have come are served.

New: idleConnectionsGiveWayToOneThatWaits. The test of BoundedTaskQueue now also counts what waits.

--- a/src/currantringd/boundedtaskqueue.cpp
+++ b/src/currantringd/boundedtaskqueue.cpp
@@ -10,8 +10,10 @@
 
 } // namespace
 
-BoundedTaskQueue::BoundedTaskQueue(CallPool::Limits limits, std::function<void()> onRefused)
+BoundedTaskQueue::BoundedTaskQueue(CallPool::Limits limits, std::function<void()> onWaiting,
+                                   std::function<void()> onRefused)
     : m_pool("http", limits)
+    , m_onWaiting(std::move(onWaiting))
     , m_onRefused(std::move(onRefused))
 {
 }
@@ -19,6 +21,9 @@
 void BoundedTaskQueue::enqueue(std::function<void()> connection)
 {
     if (m_pool.tryRun(connection)) {
+        if (hasWaiting()) {
+            m_onWaiting();
+        }
         return;
     }
     m_onRefused();
@@ -32,6 +37,11 @@
     m_pool.stop();
 }
 
+bool BoundedTaskQueue::hasWaiting() const
+{
+    return m_pool.waiting() > 0;
+}
+
 bool BoundedTaskQueue::isRefusing()
 {
     return refusing;
--- a/src/currantringd/boundedtaskqueue.h
+++ b/src/currantringd/boundedtaskqueue.h
@@ -18,18 +18,21 @@
 class BoundedTaskQueue : public httplib::TaskQueue
 {
 public:
-    /** @p onRefused runs with each connection past the bound. */
-    BoundedTaskQueue(CallPool::Limits limits, std::function<void()> onRefused);
+    /** @p onWaiting runs after each connection that waits for a thread, @p onRefused with each past the bound. */
+    BoundedTaskQueue(CallPool::Limits limits, std::function<void()> onWaiting, std::function<void()> onRefused);
 
     void enqueue(std::function<void()> connection) override;
     /** Lets the connections end and joins the threads. */
     void shutdown() override;
 
+    /** Whether a connection waits for a thread. Thread safety: any thread. */
+    [[nodiscard]] bool hasWaiting() const;
     /** Whether the calling thread is to turn away the connection that it was given. */
     [[nodiscard]] static bool isRefusing();
 
 private:
     CallPool m_pool;
+    std::function<void()> m_onWaiting;
     std::function<void()> m_onRefused;
 };
 
--- a/src/currantringd/callpool.cpp
+++ b/src/currantringd/callpool.cpp
@@ -1,5 +1,6 @@
 #include "callpool.h"
 
+#include <algorithm>
 #include <system_error>
 #include <utility>
 
@@ -85,4 +86,11 @@
     return m_running + m_jobs.size();
 }
 
+std::size_t CallPool::waiting() const
+{
+    const std::lock_guard lock(m_mutex);
+    const std::size_t free = m_limits.threads - std::min(m_running, m_limits.threads);
+    return m_jobs.size() - std::min(m_jobs.size(), free);
+}
+
 } // namespace currantring
--- a/src/currantringd/callpool.h
+++ b/src/currantringd/callpool.h
@@ -40,6 +40,8 @@
     void stop();
     /** Jobs that run or wait. */
     [[nodiscard]] std::size_t load() const;
+    /** Jobs that wait since all threads are busy. */
+    [[nodiscard]] std::size_t waiting() const;
 
 private:
     void work();
--- a/src/currantringd/limitedserver.cpp
+++ b/src/currantringd/limitedserver.cpp
@@ -59,7 +59,9 @@
     set_payload_max_length(limits.bodyBytes);
     set_tcp_nodelay(true);
     new_task_queue = [this]() -> httplib::TaskQueue * {
-        return new BoundedTaskQueue({ m_limits.connections, m_limits.waiting }, m_onRefused);
+        m_queue = new BoundedTaskQueue(
+            { m_limits.connections, m_limits.waiting }, [this] { m_idle.endOldest(); }, m_onRefused);
+        return m_queue;
     };
 }
 
@@ -135,9 +137,9 @@
 
 void LimitedServer::serveConnection(SocketStream &stream)
 {
-    Milliseconds wait = m_limits.requestTime;
+    bool hadRequest = false;
     for (std::size_t left = m_limits.requestsPerConnection; left > 0 && !m_finishing; --left) {
-        if (!stream.awaitRequest(wait, m_stopEvent)) {
+        if (!awaitRequest(stream, hadRequest)) {
             return;
         }
         bool closed = false;
@@ -147,10 +149,21 @@
             || stream.isBroken()) {
             return;
         }
-        wait = m_limits.idleTime;
+        hadRequest = true;
     }
 }
 
+bool LimitedServer::awaitRequest(SocketStream &stream, bool hadRequest)
+{
+    const IdleConnections::Stay stay(m_idle, stream.socket(), hadRequest);
+    if (!hadRequest) {
+        return stream.awaitRequest(m_limits.requestTime, m_stopEvent);
+    }
+    // Its thread is for those that wait, unless its next request has come.
+    const bool isWantedElsewhere = m_queue.load()->hasWaiting();
+    return stream.awaitRequest(isWantedElsewhere ? Milliseconds(0) : m_limits.idleTime, m_stopEvent);
+}
+
 bool LimitedServer::process_and_close_socket(socket_t socket)
 {
     if (BoundedTaskQueue::isRefusing()) {
--- a/src/currantringd/limitedserver.h
+++ b/src/currantringd/limitedserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "idleconnections.h"
 #include "socketstream.h"
 
 #include <atomic>
@@ -10,11 +11,14 @@
 
 namespace currantring {
 
+class BoundedTaskQueue;
+
 /**
  * An HTTP server that keeps its ConnectionLimits.
  *
- * Bodies stay as sent: no form parsing, no decompression, no ranges. A connection past the limits gets a short
- * refusal and is closed. Thread safety: listenOn, then serve in one thread; finish from any thread.
+ * Bodies stay as sent: no form parsing, no decompression, no ranges. While connections wait for a thread, idle ones are
+ * ended, so that nobody keeps the threads. A connection past the limits gets a short refusal and is closed. Thread
+ * safety: listenOn, then serve in one thread; finish from any thread.
  */
 class LimitedServer : public httplib::Server
 {
@@ -46,12 +50,16 @@
 private:
     bool process_and_close_socket(socket_t socket) override;
     void serveConnection(SocketStream &stream);
+    [[nodiscard]] bool awaitRequest(SocketStream &stream, bool hadRequest);
 
     const ConnectionLimits m_limits;
     std::function<void()> m_onRefused;
     std::atomic<std::size_t> m_connections = 0;
     std::atomic<std::size_t> m_heldBytes = 0;
     std::atomic<bool> m_finishing = false;
+    IdleConnections m_idle;
+    /** That of httplib, while it serves. */
+    std::atomic<BoundedTaskQueue *> m_queue = nullptr;
     int m_stopEvent = -1;
 };
 
--- a/tests/currantringd/testcallpool.cpp
+++ b/tests/currantringd/testcallpool.cpp
@@ -89,14 +89,19 @@
 {
     Gate gate;
     std::atomic<int> ran = 0;
+    int waiting = 0;
     int refused = 0;
-    BoundedTaskQueue queue({ 1, 1 }, [&refused] { ++refused; });
+    BoundedTaskQueue queue(
+        { 1, 1 }, [&waiting] { ++waiting; }, [&refused] { ++refused; });
     queue.enqueue(gate.job(ran));
+    BOOST_TEST(waiting == 0);
     queue.enqueue(gate.job(ran));
+    BOOST_TEST(waiting == 1);
     bool sawRefusing = false;
     queue.enqueue([&sawRefusing] { sawRefusing = BoundedTaskQueue::isRefusing(); });
     BOOST_TEST(sawRefusing);
     BOOST_TEST(refused == 1);
+    BOOST_TEST(waiting == 1);
     BOOST_TEST(!BoundedTaskQueue::isRefusing());
     gate.opener.set_value();
     queue.shutdown();
@@ -106,7 +111,8 @@
 BOOST_AUTO_TEST_CASE(aConnectionWithinTheBoundIsNotRefused)
 {
     std::atomic<bool> sawRefusing = true;
-    BoundedTaskQueue queue({ 1, 0 }, [] {});
+    BoundedTaskQueue queue(
+        { 1, 0 }, [] {}, [] {});
     queue.enqueue([&sawRefusing] { sawRefusing = BoundedTaskQueue::isRefusing(); });
     queue.shutdown();
     BOOST_TEST(!sawRefusing);
--- a/tests/currantringd/testlimitedserver.cpp
+++ b/tests/currantringd/testlimitedserver.cpp
@@ -154,6 +154,25 @@
     BOOST_TEST(first.readUntil("[again]").find("200 OK") != std::string::npos);
 }
 
+/** Guards against clients that keep all threads with a request now and then. */
+BOOST_AUTO_TEST_CASE(idleConnectionsGiveWayToOneThatWaits)
+{
+    ConnectionLimits limits = smallLimits();
+    limits.waiting = 1;
+    EchoServer server(limits);
+    const Connection first(server.port());
+    const Connection second(server.port());
+    first.send(post("one"));
+    BOOST_TEST(first.readUntil("[one]").find("200 OK") != std::string::npos);
+    second.send(post("two"));
+    BOOST_TEST(second.readUntil("[two]").find("200 OK") != std::string::npos);
+    const Connection third(server.port());
+    third.send(post("three"));
+    BOOST_TEST(third.readUntil("[three]").find("200 OK") != std::string::npos);
+    BOOST_TEST(first.readAll().empty());
+    BOOST_TEST(server.refused() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(aKeptConnectionServesMoreRequestsThanHttplibWouldByItself)
 {
     EchoServer server(smallLimits());
