Keep no object for a task that waits or is over

Change: StepTasks keeps a Task only from the first run until the task is done and its runs have ended, and a bit from then on; IndexSet keeps ranges of waiting tasks.

--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace currantring {
 
@@ -27,22 +28,10 @@
     return jobPhaseNames.at(static_cast<std::size_t>(phase));
 }
 
-const PlacedRun *Task::run(RunNumber number) const
-{
-    const auto found = std::ranges::find(runs, number, &PlacedRun::number);
-    return found == runs.end() ? nullptr : &*found;
-}
-
-const Task &settledTask()
-{
-    static const Task task { true, 0, RunNumber(0), {}, {} };
-    return task;
-}
-
 bool Occurrence::isOver() const
 {
     return doneSteps == steps.size() && std::ranges::all_of(steps, [](const StepTasks &step) {
-               return std::ranges::all_of(step.tasks, [](const Task &task) { return task.runs.empty(); });
+               return std::ranges::all_of(step.kept(), [](const auto &kept) { return kept.second.runs.empty(); });
            });
 }
 
@@ -73,7 +62,7 @@
 {
     Occurrence &begun = occurrences.emplace_back();
     for (const StepSpec &step : spec->steps) {
-        begun.steps.emplace_back().tasks.resize(step.count);
+        begun.steps.emplace_back(step.count);
     }
 }
 
@@ -103,16 +92,28 @@
     return isKnown ? &occurrences[occurrence].steps[step] : nullptr;
 }
 
+StepTasks *Job::findStep(std::uint32_t occurrence, std::uint32_t step)
+{
+    return const_cast<StepTasks *>(std::as_const(*this).findStep(occurrence, step));
+}
+
 const Task &Job::task(const TaskRef &ref) const
 {
     const StepTasks *const step = findStep(ref.step.occurrence, ref.step.step);
-    return step != nullptr && ref.index < step->tasks.size() ? step->tasks[ref.index] : settledTask();
+    return step != nullptr && ref.index < step->count() ? step->task(ref.index) : settledTask();
 }
 
 Task *Job::find(const TaskRef &ref)
 {
-    const Task &known = task(ref);
-    return &known == &settledTask() ? nullptr : const_cast<Task *>(&known);
+    StepTasks *const step = findStep(ref.step.occurrence, ref.step.step);
+    return step != nullptr && ref.index < step->count() ? step->find(ref.index) : nullptr;
+}
+
+void Job::settle(const TaskRef &ref)
+{
+    if (StepTasks *const step = findStep(ref.step.occurrence, ref.step.step)) {
+        step->settle(ref.index);
+    }
 }
 
 bool Job::isStepDone(std::uint32_t occurrence, std::uint32_t step) const
@@ -128,7 +129,7 @@
         return task(ref).failures;
     }
     std::uint32_t failures = 0;
-    for (const Task &member : step->tasks) {
+    for (const auto &[index, member] : step->kept()) {
         failures += member.failures;
     }
     return failures;
@@ -138,8 +139,7 @@
 {
     Occurrence &occurrence = occurrences.at(ref.step.occurrence);
     StepTasks &step = occurrence.steps.at(ref.step.step);
-    step.tasks.at(ref.index).isDone = true;
-    ++step.doneCount;
+    step.markDone(ref.index);
     if (step.isDone() && ++occurrence.doneSteps == occurrence.steps.size()) {
         ++doneOccurrences;
     }
@@ -156,8 +156,8 @@
     for (std::uint32_t occurrence = firstKept; occurrence < occurrences.size(); ++occurrence) {
         const std::vector<StepTasks> &steps = occurrences[occurrence].steps;
         for (std::uint32_t step = 0; step < steps.size(); ++step) {
-            for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
-                for (const PlacedRun &run : steps[step].tasks[index].runs) {
+            for (const auto &[index, task] : steps[step].kept()) {
+                for (const PlacedRun &run : task.runs) {
                     live.push_back({ { { spec->id, occurrence, step }, index }, run.number });
                 }
             }
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "jobspec.h"
-#include "taskref.h"
+#include "steptasks.h"
 
 #include <memory>
 #include <optional>
@@ -36,45 +36,6 @@
 /** Thread safety: reentrant. */
 std::string_view jobPhaseName(JobPhase phase);
 
-/** A run that is placed on a worker and isn't known to have ended. */
-struct PlacedRun
-{
-    RunNumber number;
-    WorkerId worker;
-    /** Incarnation of the worker when the run was placed. */
-    WorkerLife life;
-};
-
-/** Progress of one task in one occurrence. See settledTask() for one that isn't there. */
-struct Task
-{
-    bool isDone = false;
-    std::uint32_t failures = 0;
-    RunNumber lastRun;
-    /** Latest checkpoint; empty when there is none. */
-    CheckpointId checkpoint;
-    /** At most one, except in steps whose tasks may run as several copies. */
-    std::vector<PlacedRun> runs;
-
-    /** Returns the placed run with @p number, or null. */
-    [[nodiscard]] const PlacedRun *run(RunNumber number) const;
-};
-
-/** Stands for each task that doesn't exist or was forgotten: nothing of it is left to do. Thread safety: reentrant. */
-const Task &settledTask();
-
-/** The tasks of one step of one occurrence. */
-struct StepTasks
-{
-    std::vector<Task> tasks;
-    std::uint32_t doneCount = 0;
-
-    [[nodiscard]] bool isDone() const
-    {
-        return doneCount == tasks.size();
-    }
-};
-
 /** One repetition of the steps of a job. */
 struct Occurrence
 {
@@ -129,14 +90,16 @@
     void compactOccurrences();
     /** A task that doesn't exist, or was forgotten with its occurrence, counts as done, without runs. */
     [[nodiscard]] const Task &task(const TaskRef &ref) const;
-    /** The task itself, to change it; null when it doesn't exist or was forgotten. */
+    /** The task itself, to change it; null when it doesn't exist, is settled, or was forgotten with its occurrence. */
     [[nodiscard]] Task *find(const TaskRef &ref);
     /** Whether all tasks of a step are done; true for a step that doesn't exist or was forgotten. */
     [[nodiscard]] bool isStepDone(std::uint32_t occurrence, std::uint32_t step) const;
     /** Failed runs that count towards the task's attempt limit; for a gang, those of all its members. */
     [[nodiscard]] std::uint32_t failuresOf(const TaskRef &ref) const;
-    /** Precondition: find() isn't null for @p ref, and the task isn't done. */
+    /** Precondition: the task exists and isn't done. */
     void markDone(const TaskRef &ref);
+    /** Forgets the task if it is done and none of its runs is known to go on. */
+    void settle(const TaskRef &ref);
     /** Returns the specification of a step; the result keeps the whole JobSpec alive. */
     [[nodiscard]] std::shared_ptr<const StepSpec> step(std::uint32_t index) const;
     /** Runs that are placed and not known to have ended. */
@@ -145,6 +108,7 @@
 private:
     /** Null when the step doesn't exist or was forgotten. */
     [[nodiscard]] const StepTasks *findStep(std::uint32_t occurrence, std::uint32_t step) const;
+    [[nodiscard]] StepTasks *findStep(std::uint32_t occurrence, std::uint32_t step);
 };
 
 } // namespace currantring
--- a/src/libjobs/jobrecord.cpp
+++ b/src/libjobs/jobrecord.cpp
@@ -41,12 +41,16 @@
 
 json encodeOccurrence(const Occurrence &occurrence)
 {
+    // Of a settled task only this is kept; its number only says that it has run.
+    static const Task finishedTask { true, 0, RunNumber(1), {}, {} };
     json steps = json::array();
     for (const StepTasks &step : occurrence.steps) {
         json tasks = json::array();
-        for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-            if (step.tasks[index].lastRun.value() > 0) {
-                tasks.push_back(encodeProgress(step.tasks[index], index));
+        for (std::uint32_t index = 0; index < step.count(); ++index) {
+            if (step.isSettled(index)) {
+                tasks.push_back(encodeProgress(finishedTask, index));
+            } else if (step.task(index).lastRun.value() > 0) {
+                tasks.push_back(encodeProgress(step.task(index), index));
             }
         }
         steps.push_back(std::move(tasks));
@@ -141,8 +145,9 @@
     std::size_t bytes = headBytes;
     for (const StepTasks &step : occurrence.steps) {
         bytes += headBytes;
-        for (const Task &task : step.tasks) {
-            bytes += task.lastRun.value() > 0 ? maxProgressBytes(task) : 0;
+        for (std::uint32_t index = 0; index < step.count(); ++index) {
+            const Task &task = step.task(index);
+            bytes += task.isDone || task.lastRun.value() > 0 ? maxProgressBytes(task) : 0;
         }
     }
     return bytes;
--- a/src/libjobs/jobtable.cpp
+++ b/src/libjobs/jobtable.cpp
@@ -65,13 +65,12 @@
 
 bool JobTable::end(const RunEnded &record)
 {
-    Task *const task = findTask(record.run.task);
-    if (task == nullptr
-        || std::erase_if(task->runs, [&record](const PlacedRun &run) { return run.number == record.run.number; })
-            == 0) {
+    if (task(record.run.task).run(record.run.number) == nullptr) {
         return false;
     }
     Job &job = m_jobs.at(record.run.task.step.job);
+    Task *const task = job.find(record.run.task);
+    std::erase_if(task->runs, [&record](const PlacedRun &run) { return run.number == record.run.number; });
     const StepSpec &step = job.spec->steps.at(record.run.task.step.step);
     job.hasBegun = job.hasBegun || record.end != RunEnd::Lost;
     if (record.end == RunEnd::Failed) {
@@ -80,7 +79,7 @@
     // A checkpoint or completion of one gang member applies to all members.
     for (std::uint32_t index = 0; index < step.count; ++index) {
         const TaskRef member { record.run.task.step, step.isGang ? index : record.run.task.index };
-        if (!record.checkpoint.value().empty()) {
+        if (!record.checkpoint.value().empty() && !job.task(member).isDone) {
             job.find(member)->checkpoint = record.checkpoint;
         }
         if (record.end == RunEnd::Done && !step.isLasting && !job.task(member).isDone) {
@@ -90,6 +89,7 @@
             break;
         }
     }
+    job.settle(record.run.task);
     compactClosedJob(job);
     return true;
 }
--- a/src/libjobs/joburgency.cpp
+++ b/src/libjobs/joburgency.cpp
@@ -80,8 +80,8 @@
     for (std::size_t index = 0; index < progress.size(); ++index) {
         const StepTasks &step = progress[index];
         const double work = workOfTask(job.spec->steps[index]);
-        whole += work * static_cast<double>(step.tasks.size());
-        remaining += work * static_cast<double>(step.tasks.size() - step.doneCount);
+        whole += work * static_cast<double>(step.count());
+        remaining += work * static_cast<double>(step.count() - step.doneCount());
     }
     return whole > 0 ? remaining / std::sqrt(whole) : 0;
 }
--- a/src/libjobs/readysteps.h
+++ b/src/libjobs/readysteps.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "indexset.h"
 #include "jobspec.h"
 #include "taskref.h"
 
 #include <map>
 #include <memory>
-#include <set>
 
 namespace currantring {
 
@@ -14,7 +14,7 @@
 {
     std::shared_ptr<const StepSpec> step;
     QueueName queue;
-    std::set<std::uint32_t> tasks;
+    IndexSet tasks;
     /** Time since which at least one task of the step has waited without a break. */
     TimePoint since {};
 };
--- a/tests/libjobs/admissionloadmodel.cpp
+++ b/tests/libjobs/admissionloadmodel.cpp
@@ -25,7 +25,7 @@
 /** Precondition: the job's tasks of the step aren't all done. */
 void finishTask(Job &job, std::uint32_t step)
 {
-    const std::uint32_t index = job.occurrences.front().steps.at(step).doneCount;
+    const std::uint32_t index = job.occurrences.front().steps.at(step).doneCount();
     job.markDone({ { job.spec->id, 0, step }, index });
 }
 
