Keep little of a large body that the daemon refuses

Callers saw: 64 connections that each send a body of 999,000 bytes to /v1/tasks four times took currantringd to 1,204,560 kB (a list of {}) and 3,412,676 kB (an object of as many members as fit).

Causes: JsonFields built the whole document; each unknown member was a finding, told in a document of its own; a text was printed as a whole to quote 40 bytes of it. What remained then, 130 MB, was the allocator's: its threshold for blocks that go back to the system rises with the first large body, and each thread's arena keeps its own.

Change: members are read from the parser's events: at most 64, of texts as much as shows that they are too long, of nested values the type only. Ten unknown members are told and the others counted. The threshold is fixed at 131,072 bytes.

New: largeBodiesAreFindingsOfBoundedLength.

--- a/src/currantringd/callerapi.cpp
+++ b/src/currantringd/callerapi.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t longestName = 200;
 constexpr std::size_t longestReason = 1000;
-constexpr std::size_t longestProgram = 16'384;
+constexpr std::size_t longestProgram = JsonFields::longestOrdinaryText;
 constexpr std::size_t longestConfiguration = 900'000;
 constexpr std::int64_t longestTimeoutMs = 3'600'000;
 constexpr std::int64_t longestRunMs = 31LL * 24 * 3600 * 1000;
@@ -171,7 +171,7 @@
 
 ParsedRequest parseConfigurationChange(std::string_view body)
 {
-    JsonFields fields(body);
+    JsonFields fields(body, longestConfiguration);
     ApplyConfiguration change;
     change.change = ChangeId(fields.name("change", longestName));
     change.author = fields.name("author", longestName);
--- a/src/currantringd/jsonfields.h
+++ b/src/currantringd/jsonfields.h
@@ -15,13 +15,20 @@
 /**
  * Takes the members out of a JSON object and collects everything that is wrong with them.
  *
- * Thread safety: one thread at a time.
+ * What is nested in a member isn't kept, nor is what is too long, and at most 64 members are, so that a body doesn't
+ * take many times its bytes. Thread safety: one thread at a time.
  */
 class JsonFields
 {
 public:
-    /** Reads @p body; an empty one counts as an empty object. */
-    explicit JsonFields(std::string_view body);
+    /** Longest text of a request other than a configuration. */
+    static constexpr std::size_t longestOrdinaryText = 16'384;
+
+    /**
+     * Reads @p body; an empty one counts as an empty object. Of a text over @p longestText only so much is kept that it
+     * is found to be too long.
+     */
+    explicit JsonFields(std::string_view body, std::size_t longestText = longestOrdinaryText);
 
     /** A required text of 1 to @p longest printable ASCII bytes; empty when there is a finding. */
     std::string name(std::string_view member, std::size_t longest);
--- a/src/currantringd/main.cpp
+++ b/src/currantringd/main.cpp
@@ -11,6 +11,8 @@
 #include <iostream>
 #include <memory>
 
+#include <malloc.h>
+
 using namespace currantring;
 
 namespace {
@@ -25,6 +27,18 @@
     return badInput;
 }
 
+/**
+ * Returns the memory of large bodies to the system when they are freed. By default the threshold rises with the first
+ * one, and each thread keeps what its largest body took.
+ */
+void returnLargeBlocks()
+{
+    constexpr int largeBlockBytes = 131'072;
+    if (::mallopt(M_MMAP_THRESHOLD, largeBlockBytes) == 0) {
+        writeLog({ LogLevel::Warning, "allocator_unchanged", {} });
+    }
+}
+
 /** Blocks the stopping signals in all threads, so that one thread can wait for them. */
 sigset_t blockSignals()
 {
@@ -131,6 +145,7 @@
 
 int main(int argc, char **argv)
 {
+    returnLargeBlocks();
     Settings reader("currantringd", "Schedules latency-critical, batch and watching work on shared hosts.",
                     daemonOptions());
     switch (reader.read(argc, argv)) {
--- a/tests/currantringd/testcallerapi.cpp
+++ b/tests/currantringd/testcallerapi.cpp
@@ -252,4 +252,25 @@
     BOOST_TEST(body["findings"][0]["message"] == "expected it");
 }
 
+/** Guards against a body of a megabyte that becomes a document, findings and an answer of many. */
+BOOST_AUTO_TEST_CASE(largeBodiesAreFindingsOfBoundedLength)
+{
+    constexpr std::size_t length = 999'000;
+    constexpr std::size_t mostFindings = 25;
+    std::string objects = R"({"owner":[{})";
+    std::string members = R"({"owner":"x")";
+    for (int number = 0; objects.size() < length; ++number) {
+        objects += ",{}";
+        members += ",\"" + std::to_string(number) + "\":1";
+    }
+    const std::string text = R"({"owner":")" + std::string(length, 'x') + "\"}";
+    const std::string name = "{\"" + std::string(length, 'x') + "\":1}";
+    for (const std::string &body : { objects + "]}", members + "}", text, name }) {
+        const ParsedRequest request = parseSubmission(body, WallTime(0));
+        BOOST_REQUIRE(!request);
+        BOOST_TEST(request.error().size() <= mostFindings);
+        BOOST_TEST(findingsBody(request.error()).size() <= 8192U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/processes/crowdclient.cpp
+++ b/tests/processes/crowdclient.cpp
@@ -1,8 +1,9 @@
 // Sends whole requests that are costly together or for what they become; used by the process tests of untrusted
 // clients.
 //
-//     currantring-crowd-client IP:PORT CASE CONNECTIONS REQUESTS PAUSE_MS
+//     currantring-crowd-client IP:PORT CASE CONNECTIONS REQUESTS PAUSE_MS [PATH]
 //
+// The path is a job's, another one for each request, unless PATH is given.
 // Each of CONNECTIONS sends REQUESTS requests, one after the answer to the one before and PAUSE_MS later, and is opened
 // again when the server closes it. Prints how many answers came with each status; status 0 is a connection that ended.
 
@@ -30,6 +31,8 @@
 
 constexpr int badUsage = 2;
 constexpr std::size_t largestBody = 262'000;
+/** What currantringd takes. */
+constexpr std::size_t largestTask = 999'000;
 constexpr int idDigits = 16;
 constexpr timeval longestAnswer { 10, 0 };
 
@@ -37,12 +40,13 @@
 using MakeBody = std::function<std::string(std::uint64_t number)>;
 
 /** @p item as often as it fits into the largest body between @p begin and @p end, with commas. */
-std::string filled(std::string_view begin, std::string_view item, std::string_view end)
+std::string filled(std::string_view begin, std::string_view item, std::string_view end,
+                   std::size_t length = largestBody)
 {
     std::string body(begin);
-    body.reserve(largestBody);
+    body.reserve(length);
     body += item;
-    while (body.size() + item.size() + 1 + end.size() <= largestBody) {
+    while (body.size() + item.size() + 1 + end.size() <= length) {
         body += ',';
         body += item;
     }
@@ -63,6 +67,17 @@
     return R"({"spec":"x","steps":[{"count":10000,"cpu":1000000,"memMb":1}],)" + std::string(times) + "}";
 }
 
+/** An object of as many members as fit, each with another name. */
+std::string members(std::size_t length)
+{
+    std::string body = R"({"owner":"x")";
+    constexpr std::size_t longestMember = 16;
+    for (std::uint64_t number = 0; body.size() + longestMember < length; ++number) {
+        body += ",\"" + std::to_string(number) + "\":1";
+    }
+    return body + "}";
+}
+
 std::map<std::string_view, MakeBody> bodies()
 {
     const auto same = [](const std::string &body) -> MakeBody {
@@ -86,6 +101,10 @@
         { "unknown-values", same(filled(R"({"spec":"x","steps":[{"count":1}],"more":[)", "9", "]}")) },
         { "unknown-members", same(filled(R"({"spec":"x","steps":[{"count":1}],"more":[)", R"({"a":{}})", "]}")) },
         { "members-of-step", same(filled(R"({"spec":"x","steps":[{"count":1,)", R"("a":1)", "}]}")) },
+        { "task-objects", same(filled(R"({"owner":"x","more":[)", "{}", "]}", largestTask)) },
+        { "task-members", same(members(largestTask)) },
+        { "task-levels", same(R"({"owner":)" + std::string(largestTask, '[')) },
+        { "task-text", same(R"({"owner":")" + std::string(largestTask, 'x') + "\"}") },
         { "wide", same(job(wide, 10, 1)) },
         { "unrunnable", same(job(unrunnable, 1, longestSpec)) },
         { "due-at-once", same(scheduled(R"("startAtMs":1,"intervalMs":0,"repetitions":100000)")) },
@@ -99,9 +118,10 @@
     return text.data();
 }
 
-std::string request(const MakeBody &makeBody, std::uint64_t number)
+std::string request(const MakeBody &makeBody, const std::string &path, std::uint64_t number)
 {
-    const std::string target = "/orders/" + idOf(number) + " HTTP/1.1\r\nHost: jobs.example\r\n";
+    const std::string target =
+        (path.empty() ? "/orders/" + idOf(number) : path) + " HTTP/1.1\r\nHost: jobs.example\r\n";
     if (!makeBody) {
         return "GET " + target + "\r\n";
     }
@@ -156,9 +176,11 @@
 class Crowd
 {
 public:
-    Crowd(const sockaddr_in &address, MakeBody makeBody, std::uint64_t requests, std::chrono::milliseconds pause)
+    Crowd(const sockaddr_in &address, MakeBody makeBody, std::string path, std::uint64_t requests,
+          std::chrono::milliseconds pause)
         : m_address(address)
         , m_makeBody(std::move(makeBody))
+        , m_path(std::move(path))
         , m_requests(requests)
         , m_pause(pause)
     {
@@ -190,7 +212,7 @@
         int socket = -1;
         for (std::uint64_t count = 0; count < m_requests; ++count) {
             socket = socket < 0 ? connectTo(m_address) : socket;
-            const bool isSent = sendAll(socket, request(m_makeBody, index * m_requests + count));
+            const bool isSent = sendAll(socket, request(m_makeBody, m_path, index * m_requests + count));
             const std::optional<int> status = isSent ? receive(socket) : std::nullopt;
             if (!status && socket >= 0) {
                 ::close(socket);
@@ -212,6 +234,7 @@
 
     const sockaddr_in m_address;
     const MakeBody m_makeBody;
+    const std::string m_path;
     const std::uint64_t m_requests;
     const std::chrono::milliseconds m_pause;
     std::mutex m_mutex;
@@ -238,15 +261,16 @@
     sockaddr_in address {};
     address.sin_family = AF_INET;
     const std::size_t colon = words.empty() ? std::string::npos : words[0].find(':');
-    if (words.size() != 5 || colon == std::string::npos || !known.contains(words[1])
+    if ((words.size() != 5 && words.size() != 6) || colon == std::string::npos || !known.contains(words[1])
         || ::inet_pton(AF_INET, words[0].substr(0, colon).c_str(), &address.sin_addr) != 1
         || !parse(std::string_view(words[0]).substr(colon + 1), port) || !parse(words[2], connections)
         || !parse(words[3], requests) || !parse(words[4], pauseMs)) {
-        std::fputs("expected IP:PORT CASE CONNECTIONS REQUESTS PAUSE_MS\n", stderr);
+        std::fputs("expected IP:PORT CASE CONNECTIONS REQUESTS PAUSE_MS [PATH]\n", stderr);
         return badUsage;
     }
     address.sin_port = htons(port);
-    Crowd crowd(address, known.at(words[1]), requests, std::chrono::milliseconds(pauseMs));
+    const std::string path = words.size() > 5 ? words[5] : "";
+    Crowd crowd(address, known.at(words[1]), path, requests, std::chrono::milliseconds(pauseMs));
     crowd.run(connections);
     crowd.print(words[1]);
     return 0;
