--- a/tests/libsite/testcallercalls.cpp
+++ b/tests/libsite/testcallercalls.cpp
@@ -41,6 +41,29 @@
     BOOST_TEST(isTaken(R"({"spec":"x","steps":[{"count":2,"cpu":500,"memMb":10,"estimateMs":9}]})"));
 }
 
+/** Guards against calls that wait for good, and times that overflow when they are added to the clock. */
+BOOST_AUTO_TEST_CASE(timesToWaitAreBounded)
+{
+    struct Row
+    {
+        std::string header;
+        std::int64_t ms = 0;
+    };
+    for (const Row &row :
+         { Row { "1", 1 }, Row { "2500", 2500 }, Row { "60000", 60'000 }, Row { "60001", 60'000 },
+           Row { "1000000000001", 60'000 }, Row { "9223372036854775807", 60'000 }, Row { "9223372036854775808", 3000 },
+           Row { "-1", 3000 }, Row { "0", 3000 }, Row { "x", 3000 }, Row { "", 3000 } }) {
+        const SiteConfiguration known = configuration();
+        const net::HttpRequest request {
+            "GET", "/jobs/5c0e7a21d94b36f8", { { "Host", "office.example" }, { "X-Deadline-Ms", row.header } }, {}
+        };
+        const auto decoded = platform::decodeCall(request, &known);
+        const auto *const call = std::get_if<platform::DecodedCall>(&decoded);
+        BOOST_REQUIRE(call != nullptr);
+        BOOST_TEST(call->timeLeft.count() == row.ms, row.header);
+    }
+}
+
 /** What a caller sends must not end the process, whatever it is. */
 BOOST_AUTO_TEST_CASE(malformedSubmissionsAreRefused)
 {
