Count a submission that waits as what it became

Seen: requestsCountAsWhatTheyBecame, 30 such requests within a budget of 2,000,000 bytes. No process was seen to exceed its memory by this alone.

--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -369,6 +369,20 @@
     m_d->memory.setBudget(limits.maximumHeldBytes);
 }
 
+void HttpServer::countRequest(RequestToken token, std::size_t bytes)
+{
+    const auto found = m_d->waiting.find(token);
+    if (found == m_d->waiting.end()) {
+        return;
+    }
+    Private::Connection &connection = *found->second;
+    connection.requestBytes = std::max(connection.requestBytes, bytes);
+    m_d->noteMemory(connection);
+    if (m_d->memory.excess()) {
+        m_d->loop.defer([this] { m_d->enforceBudget(); });
+    }
+}
+
 void HttpServer::respond(RequestToken token, const HttpResponse &response)
 {
     const auto found = m_d->waiting.find(token);
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -63,6 +63,11 @@
     /** Address with the true port. Precondition: listen() succeeded. */
     [[nodiscard]] Address listenAddress() const;
     void setLimits(const HttpServerLimits &limits);
+    /**
+     * Counts the request @p token with @p bytes until its response, when the handler keeps it in a larger form. May
+     * close connections before the next round.
+     */
+    void countRequest(RequestToken token, std::size_t bytes);
     /** Sends the response to the request @p token; does nothing when its connection is gone. */
     void respond(RequestToken token, const HttpResponse &response);
     /** From now on each response is the last on its connection, and connections are closed once idle for @p idle. */
--- a/tests/libnet/httpserverfixture.h
+++ b/tests/libnet/httpserverfixture.h
@@ -200,6 +200,8 @@
         ++m_requests;
         if (request.target == "/large") {
             m_server.respond(token, { 200, {}, std::string(largeResponse, 'x') });
+        } else if (request.target == "/becomes-large") {
+            m_server.countRequest(token, largestBody);
         } else if (request.target != "/kept") {
             m_server.respond(token, { 200, {}, request.body });
         }
--- a/tests/libnet/testhttpserver.cpp
+++ b/tests/libnet/testhttpserver.cpp
@@ -122,6 +122,23 @@
 }
 
 /** Guards against a budget that leaves out responses that clients don't read. */
+/** Guards against requests that are kept in a form of many times their bytes, which no budget counts. */
+BOOST_AUTO_TEST_CASE(requestsCountAsWhatTheyBecame)
+{
+    HttpServerLimits limits = patientLimits();
+    limits.maximumHeldBytes = 2'000'000;
+    Served served(limits);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int count = 0; count < 30; ++count) {
+        clients.push_back(std::make_unique<Client>(served.address()));
+        BOOST_TEST(clients.back()->send(post("/becomes-large", "small")));
+        BOOST_TEST(served.awaitRequests(static_cast<std::size_t>(count) + 1));
+    }
+    BOOST_TEST(served.awaitReason("memory", 20));
+    BOOST_TEST(served.servesOrdinaryRequest());
+    BOOST_TEST(served.held() <= limits.maximumHeldBytes);
+}
+
 BOOST_AUTO_TEST_CASE(unreadResponsesStayWithinTheBudgetAndEnd)
 {
     HttpServerLimits limits = patientLimits();
