Hold one decoded slot at a time while the log is loaded

Change: the last readable slot tells where the log begins; then each is decoded, applied and dropped in turn.

Seen: the 11 entries of libjobs pass, with their unreadable slots and takeovers; the memory of a load wasn't measured.

--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -3,6 +3,7 @@
 #include "jobevents.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace currantring {
 
@@ -85,31 +86,53 @@
 
 void JobLog::replay()
 {
-    std::map<std::uint64_t, JobSlot> slots;
-    for (const auto &[number, bytes] : m_loaded) {
-        if (std::optional<JobSlot> slot = decodeJobSlot(bytes)) {
-            slots.emplace(number, std::move(*slot));
-        } else {
+    std::size_t slots = 0;
+    if (const std::optional<JobSlot> last = lastReadableSlot()) {
+        m_firstSlot = last->firstSlot;
+        m_nextSlot = m_loaded.rbegin()->first + 1;
+    }
+    // One slot at a time is held in its decoded form, and each is dropped in turn.
+    while (!m_loaded.empty()) {
+        const auto [number, bytes] = *m_loaded.begin();
+        m_loaded.erase(m_loaded.begin());
+        const std::optional<JobSlot> slot = decodeJobSlot(bytes);
+        if (!slot) {
             m_context.log(LogLevel::Error, events::logSlotUnreadable, { { "slot", std::to_string(number) } });
+            continue;
         }
-    }
-    m_loaded.clear();
-    if (!slots.empty()) {
-        m_firstSlot = slots.rbegin()->second.firstSlot;
-        m_nextSlot = slots.rbegin()->first + 1;
-    }
-    for (auto slot = slots.lower_bound(m_firstSlot); slot != slots.end(); ++slot) {
-        for (const JobRecord &record : slot->second.records) {
-            m_table.apply(record);
-            setBaseSlot(record, slot->first);
+        ++slots;
+        if (number >= m_firstSlot) {
+            replaySlot(number, *slot);
         }
     }
     m_context.log(LogLevel::Info, events::logLoaded,
-                  { { "slots", std::to_string(slots.size()) }, { "jobs", std::to_string(m_table.jobs().size()) } });
+                  { { "slots", std::to_string(slots) }, { "jobs", std::to_string(m_table.jobs().size()) } });
     const std::function<void()> then = std::move(m_onLoaded);
     then();
 }
 
+/** Drops unreadable slots behind the last readable one. */
+std::optional<JobSlot> JobLog::lastReadableSlot()
+{
+    while (!m_loaded.empty()) {
+        if (std::optional<JobSlot> slot = decodeJobSlot(m_loaded.rbegin()->second)) {
+            return slot;
+        }
+        m_context.log(LogLevel::Error, events::logSlotUnreadable,
+                      { { "slot", std::to_string(m_loaded.rbegin()->first) } });
+        m_loaded.erase(std::prev(m_loaded.end()));
+    }
+    return std::nullopt;
+}
+
+void JobLog::replaySlot(std::uint64_t number, const JobSlot &slot)
+{
+    for (const JobRecord &record : slot.records) {
+        m_table.apply(record);
+        setBaseSlot(record, number);
+    }
+}
+
 bool JobLog::append(const JobRecord &record, RecordUrgency urgency, CommitHandler then)
 {
     if (m_isLost || !m_table.apply(record)) {
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -91,6 +91,8 @@
     void loadPage(const std::string &after);
     void handlePage(const KvResult &result);
     void replay();
+    [[nodiscard]] std::optional<JobSlot> lastReadableSlot();
+    void replaySlot(std::uint64_t number, const JobSlot &slot);
     void retryLoad();
     void scheduleCommit(Milliseconds delay);
     void commit();
