Count allocations in tests without a sanitizer only

The bound on memory is checked in the release build, as in the process tests; all other checks of the suite run under the sanitizers as well.

--- a/tests/libsite/allocations.cpp
+++ b/tests/libsite/allocations.cpp
@@ -20,6 +20,13 @@
 
 } // namespace
 
+#if defined(__has_feature)
+#if __has_feature(address_sanitizer) || __has_feature(thread_sanitizer)
+#define CURRANTRING_HAS_SANITIZER
+#endif
+#endif
+
+#ifndef CURRANTRING_HAS_SANITIZER
 void *operator new(std::size_t bytes)
 {
     void *const memory = std::malloc(std::max<std::size_t>(bytes, 1));
@@ -47,6 +54,7 @@
 {
     operator delete(memory);
 }
+#endif
 
 Allocations::Allocations()
 {
