--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -1,6 +1,6 @@
 // The store turns the leading host away while it writes a placement, and serves it again after its successor has taken
 // over. The successor has lost the path to the minion of that placement meanwhile.
-#include "world.hh"
+#include "../standin-3/world.hh"
 
 #include <random>
 
@@ -15,6 +15,9 @@
 constexpr int moreMs = 400;
 /** From then on the successor reaches the minion again. */
 constexpr int restMs = 400;
+/** The path to the minion is cut twice, 5 s and the rest, so far apart. */
+constexpr std::int64_t firstCutMs = 5000;
+constexpr std::int64_t gapMs = 50;
 constexpr std::int64_t longMs = 150'000;
 constexpr std::int64_t firstStepMs = 700;
 constexpr int unavailable = 503;
@@ -38,9 +41,13 @@
     std::uint64_t former = 0;
     /** 0 until it has ordered something. */
     std::uint64_t successor = 0;
+    std::int64_t begunAt = 0;
 
-    bool holds(const std::string &id, std::uint64_t token)
+    bool holds(const std::string &id, std::uint64_t token, std::int64_t now)
     {
+        if (now - begunAt >= firstCutMs && now - begunAt < firstCutMs + gapMs) {
+            return false;
+        }
         if (!minion.empty() && successor == 0 && token > former) {
             successor = token;
         }
@@ -113,6 +120,7 @@
         // Runs under the lock that the minions ask for the cut under as well.
         port.isPlacement = [&site, &cut, job](const json &txn) {
             cut.minion = placementIn(txn, job);
+            cut.begunAt = site.world.now();
             if (!cut.minion.empty()) {
                 site.world.note("the host that leads next has no path to " + cut.minion);
             }
@@ -149,8 +157,8 @@
         options.service = "desk";
         options.work = workOf;
         site.addMinion(options);
-        site.minions.back()->isCutFrom = [&cut, id = std::string(id)](std::uint64_t token) {
-            return cut.holds(id, token);
+        site.minions.back()->isCutFrom = [&site, &cut, id = std::string(id)](std::uint64_t token) {
+            return cut.holds(id, token, site.world.now());
         };
     }
     site.configure(configuration(1, { queue("r-orders", "/orders/", 4) }));
