Start a run only while the claim is proven

The store had carried out the write of a placement and answered nothing; a successor had waited for all leases and started the task elsewhere; 8 s later the former writer found its write in the store and started its run as well.

Cause: polls extend leases only while the last proof of the claim is young, starts were sent whatever its age. JobLog ran the handlers of a commit that a conflict showed to be applied before it noted that the same conflict shows another claim.

Ruled out: only the order of these two answers.

Change: LeaseAuthority decides from the age of the proof and from the terms of the claim what an order may grant and until when, for polls and starts alike. WorkerLink::start takes a GrantTerm, which only that class creates; times on a worker's clock come from WorkerLease::grant. A start without a term waits for one reading of the claim. JobLog notes the loss first. Why it works: the last moment at which anything is granted is now the one from which LeaseSuccession counts, and a start counts for no longer than a lease.

The check LEASE, new in InvariantChecker, holds each lease against what the successor waits for.

--- a/src/libjobs/jobevents.h
+++ b/src/libjobs/jobevents.h
@@ -63,6 +63,7 @@
 inline constexpr std::string_view runPlaced = "run_placed";
 inline constexpr std::string_view runRefused = "run_refused";
 inline constexpr std::string_view startHeld = "start_held";
+inline constexpr std::string_view startDeferred = "start_deferred";
 inline constexpr std::string_view runEnded = "run_ended";
 inline constexpr std::string_view runLost = "run_lost";
 inline constexpr std::string_view runPaced = "run_paced";
--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -322,18 +322,21 @@
     });
     const auto slot = std::ranges::find(error.entries, logKey, &KvEntry::key);
     const std::optional<JobSlot> found = slot == error.entries.end() ? std::nullopt : decodeJobSlot(slot->value);
-    if (found && found->nonce == m_nonce) {
-        // An earlier attempt was applied, and its answer was lost or is delayed.
-        if (isClaimHeld) {
-            m_lastConfirmed = std::max(m_lastConfirmed, sentAt);
-        }
-        finishCommit();
-    } else if (slot != error.entries.end()) {
-        handleShardLost("slot-taken");
+    const bool isApplied = found && found->nonce == m_nonce;
+    if (isClaimHeld && isApplied) {
+        m_lastConfirmed = std::max(m_lastConfirmed, sentAt);
     }
+    // What the handlers do depends on whether the claim is known to be lost.
     if (!isClaimHeld) {
-        handleShardLost("claim-superseded");
+        noteShardLost("claim-superseded");
+    } else if (slot != error.entries.end() && !isApplied) {
+        noteShardLost("slot-taken");
+    }
+    if (isApplied) {
+        // An earlier attempt was applied, and its answer was lost or is delayed.
+        finishCommit();
     }
+    reportShardLost();
 }
 
 void JobLog::finishCommit()
@@ -368,21 +371,28 @@
                 then(WriterCheck::StillWriter);
             } else {
                 then(WriterCheck::Superseded);
-                handleShardLost("claim-superseded");
+                noteShardLost("claim-superseded");
+                reportShardLost();
             }
         }));
 }
 
-void JobLog::handleShardLost(std::string_view reason)
+void JobLog::noteShardLost(std::string_view reason)
 {
-    if (m_isLost) {
+    if (!std::exchange(m_isLost, true)) {
+        m_context.log(LogLevel::Warning, events::shardLost,
+                      { { "token", std::to_string(m_token.value()) }, { "reason", std::string(reason) } });
+    }
+}
+
+/** Runs the callback once the shard is lost, the first time. */
+void JobLog::reportShardLost()
+{
+    if (!m_isLost || !m_onLost) {
         return;
     }
-    m_isLost = true;
-    m_context.log(LogLevel::Warning, events::shardLost,
-                  { { "token", std::to_string(m_token.value()) }, { "reason", std::string(reason) } });
-    // The callback destroys this object, so it is moved to a local first.
-    const std::function<void()> onLost = std::move(m_onLost);
+    // The callback may destroy this object, so it is moved to a local first.
+    const std::function<void()> onLost = std::exchange(m_onLost, {});
     onLost();
 }
 
@@ -401,6 +411,11 @@
     return m_lastConfirmed;
 }
 
+std::optional<TimePoint> JobLog::provenAt() const
+{
+    return m_isLost ? std::nullopt : std::optional(m_lastConfirmed);
+}
+
 Milliseconds JobLog::commitAge() const
 {
     return m_inFlight ? m_context.now() - m_inFlight->begunAt : Milliseconds(0);
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -73,6 +73,8 @@
     [[nodiscard]] const JobTable &table() const;
     /** Latest time at which this host is known to have been the writer. */
     [[nodiscard]] TimePoint lastConfirmed() const;
+    /** The same; nullopt once it is known not to be the writer any more. */
+    [[nodiscard]] std::optional<TimePoint> provenAt() const;
     /** Time since the commit in flight was started; 0 when there is none. */
     [[nodiscard]] Milliseconds commitAge() const;
     /** Whether the commit in flight takes much longer than the average. */
@@ -103,7 +105,8 @@
     void handleCommit(std::uint64_t slot, TimePoint sentAt, const KvResult &result);
     void handleConflict(const KvError &error, TimePoint sentAt);
     void finishCommit();
-    void handleShardLost(std::string_view reason);
+    void noteShardLost(std::string_view reason);
+    void reportShardLost();
     void setBaseSlot(const JobRecord &record, std::uint64_t slot);
     [[nodiscard]] bool isRetentionOver(const Job &job) const;
 
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -52,13 +52,8 @@
                                }
                            } })
     , m_election(m_layout,
-                 { m_options.self,
-                   m_options.peerAddress,
-                   m_options.nonce,
-                   m_options.processors,
-                   { m_options.timing.lease, confirmationTerm, {}, HostSupport { unsupportedTerm, supportTerm } },
-                   m_options.timing.longestLease,
-                   std::max(m_options.shortestStoreLease, Milliseconds(1000)) },
+                 { m_options.self, m_options.peerAddress, m_options.nonce, m_options.processors, leaseTerms(),
+                   m_options.timing.longestLease, std::max(m_options.shortestStoreLease, Milliseconds(1000)) },
                  context,
                  { [this](WriterToken token, const InheritedLeases &inherited) { handleClaimed(token, inherited); },
                    [this](TimePoint until) { limitInheritedLeases(until); }, [this] { handleSuperseded(); },
@@ -185,6 +180,11 @@
                  : std::nullopt;
 }
 
+LeaseTerms JobNode::leaseTerms() const
+{
+    return { m_options.timing.lease, confirmationTerm, {}, HostSupport { unsupportedTerm, supportTerm } };
+}
+
 HeartbeatTime JobNode::heartbeatTime() const
 {
     return HeartbeatTime(m_context.now().time_since_epoch().count());
@@ -288,8 +288,7 @@
     options.layout = m_layout;
     options.token = token;
     options.timing = m_options.timing;
-    options.confirmationTerm = confirmationTerm;
-    options.support = { unsupportedTerm, supportTerm };
+    options.terms = leaseTerms();
     options.inherited = inherited;
     options.farFactor = m_options.farFactor;
     JobLogLimits logLimits;
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -80,6 +80,8 @@
     /** Memory for jobs, on whichever host is the writer; nullopt when it isn't limited. */
     [[nodiscard]] JobBudget::Bytes jobBudget() const;
     [[nodiscard]] Millicores largestHostProcessors() const;
+    /** Limits on the worker leases that this host grants as the writer. */
+    [[nodiscard]] LeaseTerms leaseTerms() const;
     [[nodiscard]] HeartbeatTime heartbeatTime() const;
     [[nodiscard]] std::optional<HeartbeatTime> heardWriterHeartbeat() const;
     /** When this writer sent the last heartbeat that all hosts have heard; nullopt when it hears no host. */
--- a/src/libjobs/runcontroller.cpp
+++ b/src/libjobs/runcontroller.cpp
@@ -43,6 +43,7 @@
     , m_log(log)
     , m_context(context)
     , m_handlers(std::move(handlers))
+    , m_authority(m_options.terms, authoritySources())
     , m_evacuations(formats.evacuationPrefix, formats.evacuationBound, context, evacuationHandlers())
     , m_fleet(m_options.token, m_options.timing, m_options.inherited, std::move(formats), m_evacuations, context,
               { [this](WorkerLink & /*link*/) { m_starter.requestPass(); }, [this] { m_starter.requestPass(); },
@@ -57,7 +58,7 @@
     , m_pacer(m_neighbours)
     , m_placer(m_fleet, m_interference, m_health)
     , m_loadAdmission(context.now())
-    , m_starter({ m_log, m_context, m_fleet, m_evacuations, m_placer, m_health, m_queues, m_loadAdmission,
+    , m_starter({ m_log, m_context, m_authority, m_fleet, m_evacuations, m_placer, m_health, m_queues, m_loadAdmission,
                   m_options.farFactor },
                 [this](const WorkerId &worker, const LiveRun &run, std::string_view reason) {
                     handleRunLoss(worker, run, reason);
@@ -104,8 +105,8 @@
         const WorkerLink *const link = m_fleet.find(worker);
         return link != nullptr && m_evacuations.isEvacuated(link->entry().dataCentre);
     };
-    handlers.mayExtendLease = [this] {
-        return mayExtendLease();
+    handlers.grantLease = [this] {
+        return m_authority.grantLease();
     };
     return handlers;
 }
@@ -130,16 +131,17 @@
              } };
 }
 
-bool RunController::mayExtendLease() const
+LeaseAuthority::Sources RunController::authoritySources()
 {
-    const Milliseconds age = m_context.now() - m_log.lastConfirmed();
-    return age < m_options.support.unsupported || (age < m_options.confirmationTerm && isSupported());
+    return { [this] { return m_context.now(); }, [this] { return m_log.provenAt(); },
+             [this] {
+                 return m_handlers.heardByAll();
+             } };
 }
 
 bool RunController::isSupported() const
 {
-    const std::optional<TimePoint> heardAt = m_handlers.heardByAll();
-    return !heardAt || m_context.now() - *heardAt < m_options.support.term;
+    return m_authority.isSupported();
 }
 
 void RunController::begin()
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -5,6 +5,7 @@
 #include "fillerpacer.h"
 #include "joblog.h"
 #include "knowledgestore.h"
+#include "leaseauthority.h"
 #include "loadadmission.h"
 #include "neighbourmodel.h"
 #include "queueregistry.h"
@@ -39,10 +40,8 @@
         WorkerTiming timing;
         /** Leases that earlier writers may have granted. */
         InheritedLeases inherited;
-        /** How long the writer may extend leases at most after its last confirmation. */
-        Milliseconds confirmationTerm {};
-        /** What it needs of the other hosts for that. */
-        HostSupport support;
+        /** What this writer's claim says of the leases that it grants. */
+        LeaseTerms terms;
         /** By how much a task's run time grows on another rack than its own; nullopt: waits for racks are fixed. */
         std::optional<double> farFactor;
     };
@@ -108,13 +107,14 @@
     void stopRun(const RunRef &run, const WorkerId &worker);
     void observeClose(const JobId &id, JobPhase phase);
     void close(const JobId &job, JobPhase phase);
-    [[nodiscard]] bool mayExtendLease() const;
+    LeaseAuthority::Sources authoritySources();
 
     Options m_options;
     JobLog &m_log;
     JobContext &m_context;
     Handlers m_handlers;
     Lifetime m_lifetime;
+    LeaseAuthority m_authority;
     QueueRegistry m_queues;
     EvacuationList m_evacuations;
     WorkerFleet m_fleet;
--- a/src/libjobs/runstarter.cpp
+++ b/src/libjobs/runstarter.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t maxConstrainedTries = 8;
 /** After this wait, while most of the service is unused, fillers may be placed where they may be throttled. */
 constexpr Milliseconds unthrottledWait { 2000 };
+/** After this time the claim is read again when the store didn't answer. */
+constexpr Milliseconds proofRetryDelay { 150 };
 
 } // namespace
 
@@ -385,16 +387,52 @@
 }
 
 void RunStarter::start(const RunRef &run, const WorkerId &worker)
+{
+    if (const std::optional<GrantTerm> term = startTerm()) {
+        sendStart(run, worker, *term);
+        return;
+    }
+    const std::optional<Milliseconds> age = m_parts.authority.proofAge();
+    m_parts.context.log(LogLevel::Info, events::startDeferred,
+                        { { "task", describe(run.task) },
+                          { "run", std::to_string(run.number.value()) },
+                          { "worker", worker.value() },
+                          { "proof_age_ms", age ? std::to_string(age->count()) : "lost" } });
+    m_deferredStarts.emplace_back(run, worker);
+}
+
+/** The term of a start that is sent now; nullopt while the claim isn't proven or the evacuations aren't known. */
+std::optional<GrantTerm> RunStarter::startTerm()
+{
+    const std::optional<GrantTerm> term = m_parts.authority.grantStart();
+    if (!term) {
+        requestProof();
+    }
+    return m_parts.evacuations.confirm() ? term : std::nullopt;
+}
+
+/** Reads the claim, once for all starts that wait for that. */
+void RunStarter::requestProof()
+{
+    if (std::exchange(m_isProofRequested, true)) {
+        return;
+    }
+    m_parts.log.checkWriter(m_lifetime.guard([this](WriterCheck check) {
+        const Milliseconds delay = check == WriterCheck::StillWriter ? Milliseconds(0) : proofRetryDelay;
+        m_parts.context.schedule(delay, m_lifetime.guard([this] {
+            m_isProofRequested = false;
+            startDeferred();
+        }));
+    }));
+}
+
+void RunStarter::sendStart(const RunRef &run, const WorkerId &worker, const GrantTerm &term)
 {
     WorkerLink *const link = m_parts.fleet.find(worker);
     const Job *const job = m_parts.log.table().find(run.task.step.job);
     if (link == nullptr || job == nullptr || !link->runs().contains(run)) {
         return;
     }
-    if (!m_parts.evacuations.confirm()) {
-        m_deferredStarts.emplace_back(run, worker);
-        return;
-    }
     const std::string ticket = m_admission.ticket(run.task.step, worker, link->life());
     const std::string_view obstacle = obstacleToStart(run.task, *job, *link, ticket);
     if (!obstacle.empty()) {
@@ -403,14 +441,18 @@
         m_onLoss(worker, live, obstacle);
         return;
     }
-    link->start(run, job->spec->payload, job->task(run.task).checkpoint, ticket);
+    link->start(run, term, job->spec->payload, job->task(run.task).checkpoint, ticket);
 }
 
-/** Sends the committed starts that waited for the list of evacuations, which has been read. */
+/** Sends the committed starts that waited, if none of them has to any longer. */
 void RunStarter::startDeferred()
 {
+    const std::optional<GrantTerm> term = m_deferredStarts.empty() ? std::nullopt : startTerm();
+    if (!term) {
+        return;
+    }
     for (const auto &[run, worker] : std::exchange(m_deferredStarts, {})) {
-        start(run, worker);
+        sendStart(run, worker, *term);
     }
 }
 
--- a/src/libjobs/runstarter.h
+++ b/src/libjobs/runstarter.h
@@ -4,6 +4,7 @@
 #include "evacuationlist.h"
 #include "joblog.h"
 #include "joburgency.h"
+#include "leaseauthority.h"
 #include "loadadmission.h"
 #include "noroomcache.h"
 #include "queueregistry.h"
@@ -33,6 +34,7 @@
     {
         JobLog &log;
         JobContext &context;
+        const LeaseAuthority &authority;
         WorkerFleet &fleet;
         EvacuationList &evacuations;
         const RunPlacer &placer;
@@ -133,6 +135,9 @@
     LiveRun reserve(const Assignment &assignment, const ReadyStep &ready);
     void record(const Assignment &assignment, const LiveRun &run);
     void start(const RunRef &run, const WorkerId &worker);
+    void sendStart(const RunRef &run, const WorkerId &worker, const GrantTerm &term);
+    [[nodiscard]] std::optional<GrantTerm> startTerm();
+    void requestProof();
     [[nodiscard]] const Task &task(const TaskRef &ref) const;
     [[nodiscard]] JobUrgency urgencyOfStep(const StepRef &step, const ReadyStep &ready, const Job &job,
                                            const QueueEntry &queue) const;
@@ -153,8 +158,10 @@
     std::map<ServiceName, bool> m_isMostlyUnused;
     /** Labels of the workers that may get new runs, while there is an evacuation; valid within one pass. */
     std::set<Label> m_schedulableLabels;
-    /** Committed runs whose starts wait until the list of evacuations is read. */
+    /** Committed runs whose starts wait until the claim is proven and the list of evacuations is read. */
     std::vector<std::pair<RunRef, WorkerId>> m_deferredStarts;
+    /** While the claim is being read for these. */
+    bool m_isProofRequested = false;
     bool m_passRequested = false;
     std::optional<TimePoint> m_lastPass;
 };
--- a/src/libjobs/workerlease.cpp
+++ b/src/libjobs/workerlease.cpp
@@ -45,9 +45,11 @@
     return m_clock ? WorkerTime(m_clock->clock.value() + (now - m_clock->at).count()) : WorkerTime(0);
 }
 
-void WorkerLease::noteGrant(WorkerTime until)
+WorkerTime WorkerLease::grant(const GrantTerm &term)
 {
+    const WorkerTime until = clockAt(term.until());
     m_grantedUntil = std::max(m_grantedUntil.value_or(until), until);
+    return until;
 }
 
 void WorkerLease::limitInherited(TimePoint until)
--- a/src/libjobs/workerlease.h
+++ b/src/libjobs/workerlease.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "leaseauthority.h"
 #include "units.h"
 
 #include <optional>
@@ -36,8 +37,8 @@
     [[nodiscard]] bool hasClockSample() const;
     /** The worker's clock, extrapolated from its latest answer; 0 before the first answer. */
     [[nodiscard]] WorkerTime clockAt(TimePoint now) const;
-    /** To be called before an order is sent that may extend the lease until @p until. */
-    void noteGrant(WorkerTime until);
+    /** Records that an order is about to be sent that counts for @p term; returns its end on the worker's clock. */
+    [[nodiscard]] WorkerTime grant(const GrantTerm &term);
     /** A poll's answer received at @p now carried @p clock, which bounds the leases that previous writers granted. */
     void noteAnswer(WorkerTime clock, TimePoint now);
     /** The worker restarted and holds no lease. */
--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -12,8 +12,6 @@
 /** Added to the wait of a poll to give its timeout. */
 constexpr Milliseconds pollTimeoutMargin { 600 };
 constexpr Milliseconds orderTimeout { 400 };
-/** A worker refuses a start order that arrives later than this. */
-constexpr Milliseconds startWindow { 1500 };
 constexpr Milliseconds stopRetryDelay { 200 };
 constexpr Milliseconds pollRetryDelay { 250 };
 /** Interval of lease renewals while ended runs wait to be recorded. */
@@ -128,7 +126,8 @@
     }
 }
 
-void WorkerLink::start(const RunRef &run, std::string payload, const CheckpointId &resumeFrom, std::string ticket)
+void WorkerLink::start(const RunRef &run, const GrantTerm &term, std::string payload, const CheckpointId &resumeFrom,
+                       std::string ticket)
 {
     const auto place = m_runs.find(run);
     if (place == m_runs.end() || place->second.phase != RunPhase::Committing) {
@@ -136,8 +135,7 @@
     }
     LiveRun &live = place->second;
     live.phase = RunPhase::Starting;
-    live.startBy = WorkerTime(m_lease.clockAt(m_context.now()).value() + startWindow.count());
-    m_lease.noteGrant(live.startBy);
+    live.startBy = m_lease.grant(term);
     sendStart(std::make_shared<const StartOrder>(
                   StartOrder { m_token, run, std::move(payload), resumeFrom, live.startBy, std::move(ticket) }),
               IfNotSent::Hold);
@@ -340,9 +338,9 @@
         pollOrder.acknowledged = m_acknowledged;
     }
     // Retries don't extend the lease; otherwise the lease of an unresponsive worker would never be known to expire.
-    if (m_lease.hasClockSample() && m_failedPolls == 0 && m_handlers.mayExtendLease()) {
-        pollOrder.leaseUntil = WorkerTime(m_lease.clockAt(m_context.now()).value() + m_timing.lease.count());
-        m_lease.noteGrant(*pollOrder.leaseUntil);
+    if (m_lease.hasClockSample() && m_failedPolls == 0) {
+        const std::optional<GrantTerm> term = m_handlers.grantLease();
+        pollOrder.leaseUntil = term ? std::optional(m_lease.grant(*term)) : std::nullopt;
     }
     ++m_round;
     callWorker(pollOrder, wait + pollTimeoutMargin,
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -79,8 +79,8 @@
         std::function<bool()> isEvacuated = [] {
             return false;
         };
-        /** Whether the writer is currently allowed to extend leases. */
-        std::function<bool()> mayExtendLease;
+        /** The term of a lease that is granted now; nullopt while the writer may not extend leases. */
+        std::function<std::optional<GrantTerm>()> grantLease;
     };
 
     /**
@@ -105,8 +105,9 @@
     void reserve(LiveRun run);
     /** Releases the resources of a reserved run for which no order has been sent. */
     void release(const RunRef &run);
-    /** Sends the start order of a reserved run. */
-    void start(const RunRef &run, std::string payload, const CheckpointId &resumeFrom, std::string ticket);
+    /** Sends the start order of a reserved run, which the worker refuses after @p term. */
+    void start(const RunRef &run, const GrantTerm &term, std::string payload, const CheckpointId &resumeFrom,
+               std::string ticket);
     /** Stops a run; does nothing when the run isn't tracked or is already stopping. */
     void stop(const RunRef &run);
     void pace(const RunRef &run, std::uint32_t percent);
--- a/tests/libjobs/fleetfixture.cpp
+++ b/tests/libjobs/fleetfixture.cpp
@@ -1,5 +1,7 @@
 #include "fleetfixture.h"
 
+#include "provenauthority.h"
+
 #include <utility>
 
 namespace currantring {
@@ -29,8 +31,8 @@
                                     };
                                     handlers.onReachability = [] {
                                     };
-                                    handlers.mayExtendLease = [] {
-                                        return true;
+                                    handlers.grantLease = [] {
+                                        return provenAuthority([] { return start; }).grantLease();
                                     };
                                     return handlers;
                                 } });
--- a/tests/libjobs/invariantchecker.cpp
+++ b/tests/libjobs/invariantchecker.cpp
@@ -94,8 +94,43 @@
     m_jobs[spec->id].spec = spec;
 }
 
+void InvariantChecker::noteClaim(const WriterClaim &claim, TimePoint at)
+{
+    const WriterToken former(claim.replaced.value());
+    if (former == WriterToken(0) || !claim.leases) {
+        return;
+    }
+    WriterRecord &writer = m_writers[former];
+    writer.waitedForUntil = at + claim.leases->inherited;
+    checkLeases(former, writer, at);
+}
+
+void InvariantChecker::noteLease(const WorkerId &worker, WriterToken token, TimePoint until, TimePoint at)
+{
+    WriterRecord &writer = m_writers[token];
+    if (until > writer.latestLease) {
+        writer.latestLease = until;
+        writer.latestOn = worker;
+    }
+    checkLeases(token, writer, at);
+}
+
+void InvariantChecker::checkLeases(WriterToken token, const WriterRecord &writer, TimePoint at)
+{
+    if (writer.waitedForUntil && writer.latestLease > *writer.waitedForUntil) {
+        recordViolation("LEASE", at,
+                        writer.latestOn.value() + " is leased by former writer " + std::to_string(token.value())
+                            + " for " + std::to_string((writer.latestLease - *writer.waitedForUntil).count())
+                            + " ms longer than its successor waits");
+    }
+}
+
 void InvariantChecker::noteFact(const WorkerRunEvent &fact)
 {
+    if (fact.kind == WorkerRunEvent::Kind::LeaseExtended) {
+        noteLease(fact.worker, fact.token, fact.leaseEnd, fact.at);
+        return;
+    }
     TaskRecord &task = m_tasks[fact.run.task];
     switch (fact.kind) {
     case WorkerRunEvent::Kind::Started:
@@ -111,6 +146,8 @@
         task.failed += fact.end == ReportedEnd::Failed ? 1 : 0;
         m_membersLeftAlone += fact.end == ReportedEnd::GangIncomplete ? 1 : 0;
         break;
+    case WorkerRunEvent::Kind::LeaseExtended:
+        break;
     case WorkerRunEvent::Kind::Acknowledged:
         if (fact.isLapsed) {
             break;
--- a/tests/libjobs/invariantchecker.h
+++ b/tests/libjobs/invariantchecker.h
@@ -3,6 +3,7 @@
 #include "callercall.h"
 #include "siteconfiguration.h"
 #include "virtualworker.h"
+#include "writerclaim.h"
 
 #include <map>
 #include <memory>
@@ -70,6 +71,13 @@
     void noteWallStart(WallTime start);
     /** Widens the tolerance of early starts by the largest jump of a host's wall clock. */
     void noteClockSteps(Milliseconds most);
+    /** The claim of a writer takes effect at @p at. */
+    void noteClaim(const WriterClaim &claim, TimePoint at);
+    /**
+     * Checks that an order of the writer with @p token extends the lease of a worker no longer than the writer's
+     * successor waits for.
+     */
+    void noteLease(const WorkerId &worker, WriterToken token, TimePoint until, TimePoint at);
     /** Checks a start, end or acknowledgement that took place on a worker. */
     void noteFact(const WorkerRunEvent &fact);
     void noteSubmission(const std::shared_ptr<const JobSpec> &spec);
@@ -120,6 +128,14 @@
         std::optional<TimePoint> idleSince;
         bool wasIdleTooLong = false;
     };
+    /** A writer and the leases that it has granted. */
+    struct WriterRecord
+    {
+        WorkerId latestOn;
+        TimePoint latestLease {};
+        /** How long its successor waits for these leases; nullopt while there is no successor. */
+        std::optional<TimePoint> waitedForUntil;
+    };
     struct JobRecord
     {
         std::shared_ptr<const JobSpec> spec;
@@ -132,6 +148,7 @@
         bool wasShownCompleted = false;
     };
 
+    void checkLeases(WriterToken token, const WriterRecord &writer, TimePoint at);
     void checkStart(const WorkerRunEvent &fact);
     void checkPlacement(const WorkerRunEvent &fact, const StepSpec &step, const JobSpec &job);
     void checkCapacity(const WorkerRunEvent &fact);
@@ -163,6 +180,7 @@
     std::map<DataCentreId, TimePoint> m_evacuations;
     std::map<DataCentreId, TimePoint> m_lastStartOrders;
     std::optional<TimePoint> m_storeOutageEnd;
+    std::map<WriterToken, WriterRecord> m_writers;
     std::map<JobId, JobRecord> m_jobs;
     std::map<TaskRef, TaskRecord> m_tasks;
     std::size_t m_starts = 0;
--- /dev/null
+++ b/tests/libjobs/provenauthority.cpp
@@ -0,0 +1,15 @@
+#include "provenauthority.h"
+
+namespace currantring {
+
+LeaseAuthority provenAuthority(std::function<TimePoint()> now, Milliseconds lease)
+{
+    const LeaseTerms terms { lease, Milliseconds(3000), {}, {} };
+    return { terms,
+             { now, [now] { return std::optional(now()); },
+               [] {
+                   return std::optional<TimePoint>();
+               } } };
+}
+
+} // namespace currantring
--- a/tests/libjobs/testendlists.cpp
+++ b/tests/libjobs/testendlists.cpp
@@ -1,4 +1,5 @@
 #include "jobevents.h"
+#include "provenauthority.h"
 #include "virtualjobs.h"
 #include "virtualsite.h"
 #include "workerlink.h"
@@ -87,6 +88,11 @@
     }
 
     /** The position after the new ends of the latest answer. */
+    void start(const RunRef &run)
+    {
+        m_link.start(run, *m_authority.grantStart(), {}, {}, {});
+    }
+
     [[nodiscard]] const std::optional<EndCursor> &newEnds() const
     {
         return m_newEnds;
@@ -146,8 +152,8 @@
         handlers.describeRun = [](const TaskRef &) {
             return std::shared_ptr<const StepSpec>();
         };
-        handlers.mayExtendLease = [] {
-            return true;
+        handlers.grantLease = [this] {
+            return m_authority.grantLease();
         };
         return handlers;
     }
@@ -164,6 +170,7 @@
     }
 
     TimePoint m_now {};
+    LeaseAuthority m_authority = provenAuthority([this] { return m_now; });
     std::deque<std::pair<WorkerOrder, JobDriver::WorkerHandler>> m_calls;
     JobContext m_context;
     std::vector<RunRef> m_lost;
@@ -193,7 +200,7 @@
         worker.link().begin();
         worker.answerPoll({}, {}, ListExtent::Complete);
         worker.link().reserve(placedRun(0));
-        worker.link().start(runOf(0), {}, {}, {});
+        worker.start(runOf(0));
     };
     static const std::vector<PhaseCase> cases {
         { "inherited",
--- a/tests/libjobs/testlease.cpp
+++ b/tests/libjobs/testlease.cpp
@@ -1,3 +1,4 @@
+#include "provenauthority.h"
 #include "reservedresources.h"
 #include "workerlease.h"
 
@@ -25,6 +26,12 @@
     return step;
 }
 
+/** Grants a lease of @p duration when the writer claims. */
+WorkerTime grantFor(WorkerLease &lease, Milliseconds duration)
+{
+    return lease.grant(*provenAuthority([] { return claimedAt; }, duration).grantLease());
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Leases)
@@ -51,10 +58,10 @@
 BOOST_AUTO_TEST_CASE(latestExpiryAppliesWhateverTheOrderOfGrants)
 {
     WorkerLease lease(longestLease, inheritedUntil);
-    lease.noteAnswer(WorkerTime(0), claimedAt);
-    lease.noteGrant(WorkerTime(20'000));
-    lease.noteGrant(WorkerTime(15'000));
+    lease.noteAnswer(WorkerTime(10'000), claimedAt);
     lease.noteClock(WorkerTime(10'000), claimedAt);
+    BOOST_TEST((grantFor(lease, Milliseconds(10'000)) == WorkerTime(20'000)));
+    BOOST_TEST((grantFor(lease, Milliseconds(5000)) == WorkerTime(15'000)));
     BOOST_TEST((lease.expiryTime() >= claimedAt + Milliseconds(10'000)));
 }
 
@@ -62,7 +69,8 @@
 {
     WorkerLease lease(longestLease, inheritedUntil);
     lease.noteAnswer(WorkerTime(0), claimedAt);
-    lease.noteGrant(WorkerTime(60'000));
+    lease.noteClock(WorkerTime(0), claimedAt);
+    BOOST_TEST((grantFor(lease, Milliseconds(60'000)) == WorkerTime(60'000)));
     lease.noteRestart();
     lease.noteAnswer(WorkerTime(10), claimedAt);
     lease.noteClock(WorkerTime(10), claimedAt);
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -56,8 +56,29 @@
     TimePoint answeredAt {};
 };
 
-/** Fault of the store as seen from one host: it doesn't reply, it refuses all calls, or it doesn't reply to watches. */
-enum class StoreFault { None, Silent, Refusing, WatchesSilent };
+/** Fault of the store as seen from one host. */
+enum class StoreFault {
+    None,
+    /** It doesn't reply. */
+    Silent,
+    /** It refuses all calls. */
+    Refusing,
+    /** It doesn't reply to watches. */
+    WatchesSilent,
+    /** It carries calls out once the fault is over, in a random order. */
+    Holding,
+};
+
+/** What happens to a host once the store has carried out its next commit that places a run. */
+struct PlacementFault
+{
+    /** How the store treats the host from then on. */
+    StoreFault store = StoreFault::Silent;
+    /** After which time the commit is answered nevertheless; nullopt: never. */
+    std::optional<Milliseconds> answerAfter;
+    /** Whether the host's process is paused, with the answer on its way. */
+    bool isPaused = false;
+};
 
 /**
  * Deterministic simulation of a site: complete hosts, a store, workers and the network between them on a virtual clock.
@@ -100,6 +121,8 @@
     HostId addHost();
     void pauseHost(const HostId &host);
     void resumeHost(const HostId &host);
+    /** Like resumeHost(); the process handles what has arrived meanwhile, and its timers, in a random order. */
+    void resumeHostInRandomOrder(const HostId &host);
     /**
      * Simulates a process short of processor time: it runs once per @p period, handles all events received since the
      * last time, and its clock shows the beginning of the period. Zero ends the throttling.
@@ -109,6 +132,8 @@
     void stopHost(const HostId &host);
     void stepWallClock(const HostId &host, Milliseconds by);
     void setStoreFault(const HostId &host, StoreFault fault);
+    /** Applies @p fault to the host's next commit that places a run; @p then receives the worker. */
+    void failAfterPlacement(const HostId &host, PlacementFault fault, std::function<void(const WorkerId &)> then);
     void setStoreDelay(Milliseconds perCall);
     /** While deaf, watches report no changes and no loss of history. */
     void setWatchesDeaf(bool areDeaf);
@@ -226,7 +251,9 @@
     void deliver(Host &host, std::uint64_t process, std::function<void()> body);
     void callStore(Host &host, std::uint64_t process, const KvRequest &request, Milliseconds timeout,
                    const JobDriver::KvHandler &then);
-    void arriveAtStore(Host &host, std::uint64_t process, const KvRequest &request, const JobDriver::KvHandler &then);
+    void arriveAtStore(Host &host, const KvRequest &request, const JobDriver::KvHandler &then);
+    /** Notes a claim, or applies the fault of a placement; false when the commit isn't to be answered as usual. */
+    bool handleCommitted(Host &host, const KvCommit &commit, const KvResult &result, const JobDriver::KvHandler &then);
     void callWorker(Host &host, std::uint64_t process, const WorkerTarget &target, const WorkerOrder &order,
                     Milliseconds timeout, const JobDriver::WorkerHandler &then);
     /** The connection from a host's process that may carry an order to @p target; drops one of a former life. */
@@ -267,6 +294,8 @@
     Milliseconds m_storeDelay { 4 };
     bool m_areWatchesDeaf = false;
     bool m_isEndingGang = false;
+    /** While a worker carries out an order that was sent to its former life. */
+    bool m_isOrderOfFormerLife = false;
     /** When the delay of the store's replies last changed. */
     TimePoint m_storeDelayChangedAt {};
     double m_storeReplyLoss = 0;
--- a/tests/libjobs/virtualsite_p.h
+++ b/tests/libjobs/virtualsite_p.h
@@ -32,6 +32,9 @@
         return isResponsive() && (storeFault == StoreFault::None || storeFault == StoreFault::WatchesSilent);
     }
     StoreFault storeFault = StoreFault::None;
+    /** Calls that a holding store will carry out. */
+    std::vector<std::function<void()>> heldCalls;
+    std::optional<std::pair<PlacementFault, std::function<void(const WorkerId &)>>> placementFault;
     TimePoint startedAt {};
     /** When a disturbance of the host last ended. */
     TimePoint disturbedAt {};
--- a/tests/libjobs/virtualsitefaults.cpp
+++ b/tests/libjobs/virtualsitefaults.cpp
@@ -43,6 +43,19 @@
     processInbox(host);
 }
 
+void VirtualSite::resumeHostInRandomOrder(const HostId &id)
+{
+    Host &host = find(id);
+    for (std::size_t left = host.inbox.size(); left > 1; --left) {
+        std::swap(host.inbox[left - 1], host.inbox[uniformBelow(m_random, left)]);
+    }
+    const bool areTimersFirst = uniformBelow(m_random, 2) == 0;
+    if (areTimersFirst) {
+        host.context->advance(m_now, wallOn(host, m_now));
+    }
+    resumeHost(id);
+}
+
 void VirtualSite::processInbox(Host &host)
 {
     std::vector<std::function<void()>> inbox;
@@ -99,10 +112,24 @@
     find(host).wallOffset += by;
 }
 
-void VirtualSite::setStoreFault(const HostId &host, StoreFault fault)
+void VirtualSite::setStoreFault(const HostId &id, StoreFault fault)
+{
+    Host &host = find(id);
+    host.storeFault = fault;
+    host.disturbedAt = m_now;
+    if (fault != StoreFault::Holding) {
+        std::vector<std::function<void()>> held;
+        held.swap(host.heldCalls);
+        for (std::function<void()> &call : held) {
+            at(m_now + latency(), std::move(call));
+        }
+    }
+}
+
+void VirtualSite::failAfterPlacement(const HostId &host, PlacementFault fault,
+                                     std::function<void(const WorkerId &)> then)
 {
-    find(host).storeFault = fault;
-    find(host).disturbedAt = m_now;
+    find(host).placementFault = { fault, std::move(then) };
 }
 
 void VirtualSite::setStoreDelay(Milliseconds perCall)
--- a/tests/libjobs/virtualsitewires.cpp
+++ b/tests/libjobs/virtualsitewires.cpp
@@ -1,4 +1,6 @@
+#include "jobrecord.h"
 #include "log.h"
+#include "storelayout.h"
 #include "virtualsite_p.h"
 
 #include <algorithm>
@@ -18,6 +20,21 @@
     return watch == nullptr ? std::string() : watch->prefix;
 }
 
+/** The worker of the first run that a commit to the log places; nullopt when it places none. */
+std::optional<WorkerId> placedOn(const KvCommit &commit)
+{
+    const StoreLayout layout;
+    for (const KvPut &put : commit.puts) {
+        const std::optional<JobSlot> slot = layout.slotOf(put.key) > 0 ? decodeJobSlot(put.value) : std::nullopt;
+        for (const JobRecord &record : slot ? slot->records : std::vector<JobRecord>()) {
+            if (const auto *const placed = std::get_if<RunPlaced>(&record)) {
+                return placed->worker;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 /** Whether the order goes over the connections for orders, not over the one for polls. */
 bool usesOrderChannel(const WorkerOrder &order)
 {
@@ -112,6 +129,10 @@
     if (event.kind == WorkerRunEvent::Kind::Started) {
         m_admission.noteStart(event.ticket);
     }
+    if (event.kind == WorkerRunEvent::Kind::LeaseExtended && m_isOrderOfFormerLife) {
+        // A time on the former life's clock; the page doesn't allow the new life to carry out such an order.
+        return;
+    }
     m_judge.noteFact(event);
     const bool endsGang = event.kind == WorkerRunEvent::Kind::Ended && event.isGangMember
         && event.end != ReportedEnd::GangBroken && !m_isEndingGang;
@@ -203,13 +224,18 @@
             finish(tl::unexpected(KvError { KvErrorKind::Refused, {} }));
             return;
         }
-        at(m_now + m_storeDelay,
-           [this, &host, process, request, finish] { arriveAtStore(host, process, request, finish); });
+        const auto arrive = [this, &host, request, finish] {
+            arriveAtStore(host, request, finish);
+        };
+        if (host.storeFault == StoreFault::Holding) {
+            host.heldCalls.push_back(arrive);
+            return;
+        }
+        at(m_now + m_storeDelay, arrive);
     });
 }
 
-void VirtualSite::arriveAtStore(Host & /*host*/, std::uint64_t /*process*/, const KvRequest &request,
-                                const JobDriver::KvHandler &then)
+void VirtualSite::arriveAtStore(Host &host, const KvRequest &request, const JobDriver::KvHandler &then)
 {
     const auto *const watch = std::get_if<KvWatch>(&request);
     const bool isAnswered =
@@ -228,13 +254,41 @@
     if (m_store.commitsBeyondLimits() > beyondLimits) {
         m_judge.noteCommitBeyondLimits(m_now);
     }
-    const bool isWrite = std::holds_alternative<KvCommit>(request);
-    if (isWrite && uniformUnit(m_random) < m_storeReplyLoss) {
+    const auto *const commit = std::get_if<KvCommit>(&request);
+    if (commit != nullptr && result && !handleCommitted(host, *commit, result, then)) {
+        return;
+    }
+    if (commit != nullptr && uniformUnit(m_random) < m_storeReplyLoss) {
         return;
     }
     at(m_now + latency(), [then, result] { then(result); });
 }
 
+bool VirtualSite::handleCommitted(Host &host, const KvCommit &commit, const KvResult &result,
+                                  const JobDriver::KvHandler &then)
+{
+    const StoreLayout layout;
+    const auto claim = std::ranges::find(commit.puts, layout.claimKey(), &KvPut::key);
+    if (claim != commit.puts.end()) {
+        m_judge.noteClaim(*decodeClaim({ claim->key, claim->value, result->revision, false }), m_now);
+    }
+    const std::optional<WorkerId> worker = host.placementFault ? placedOn(commit) : std::nullopt;
+    if (!worker) {
+        return true;
+    }
+    const auto [fault, noteWorker] = *std::exchange(host.placementFault, std::nullopt);
+    setStoreFault(host.id, fault.store);
+    noteWorker(*worker);
+    if (fault.answerAfter) {
+        at(m_now + *fault.answerAfter, [then, result] { then(result); });
+    }
+    if (fault.isPaused) {
+        pauseHost(host.id);
+        at(m_now + latency(), [then, result] { then(result); });
+    }
+    return false;
+}
+
 void VirtualSite::callWorker(Host &host, std::uint64_t process, const WorkerTarget &target, const WorkerOrder &order,
                              Milliseconds timeout, const JobDriver::WorkerHandler &then)
 {
@@ -293,9 +347,11 @@
            const ChannelMark channels = isForOrders && !channel ? openOrderChannel(host, process, node).mark : sentAt;
            if (!isLook && uniformUnit(m_random) < m_lateOrderProbability) {
                const Milliseconds late(300 + static_cast<std::int64_t>(uniformBelow(m_random, 11'700)));
-               at(m_now + late, [this, worker, order] {
+               at(m_now + late, [this, worker, order, life = node.worker->entry().life] {
                    if (!workerNode(worker).isDown) {
+                       m_isOrderOfFormerLife = workerNode(worker).worker->entry().life != life;
                        static_cast<void>(workerNode(worker).worker->execute(order, m_now));
+                       m_isOrderOfFormerLife = false;
                    }
                });
                return;
--- a/tests/libjobs/virtualworker.cpp
+++ b/tests/libjobs/virtualworker.cpp
@@ -177,6 +177,13 @@
     const auto granted = static_cast<double>(std::min(left, maxLeaseTerm).count());
     const TimePoint end = now + Milliseconds(static_cast<std::int64_t>(granted / clockRate));
     m_leaseEnd = std::max(m_leaseEnd.value_or(end), end);
+    WorkerRunEvent event;
+    event.kind = WorkerRunEvent::Kind::LeaseExtended;
+    event.at = now;
+    event.worker = m_entry.id;
+    event.token = m_token;
+    event.leaseEnd = end;
+    m_onRunEvent(event);
 }
 
 void VirtualWorker::advance(TimePoint now)
--- a/tests/libjobs/virtualworker.h
+++ b/tests/libjobs/virtualworker.h
@@ -44,10 +44,10 @@
     auto operator<=>(const GangRef &) const = default;
 };
 
-/** Start, end or acknowledged end of a run, reported to InvariantChecker. */
+/** Start, end or acknowledged end of a run, or an extended lease, reported to InvariantChecker. */
 struct WorkerRunEvent
 {
-    enum class Kind { Started, Ended, Acknowledged };
+    enum class Kind { Started, Ended, Acknowledged, LeaseExtended };
 
     Kind kind = Kind::Started;
     TimePoint at {};
@@ -64,6 +64,9 @@
     bool isGangMember = false;
     /** Started: the ticket of the order. */
     std::string ticket {};
+    /** LeaseExtended: the token of the order, and until when it counts. */
+    WriterToken token {};
+    TimePoint leaseEnd {};
 };
 
 /**
