Extend no lease over a connection to an unknown life

Callers saw nothing, as nothing is started on a life that isn't known.

Cause: after an identity that named another life, WorkerLink dropped its channel and polled at once, with a time on the former life's clock, which a new life takes as the longest lease. Traced: the poll of 1004167 leases until 1010289, 6 s.

Change: a poll names a time only over the connection of the poll before. The answer to one without a lease is followed by a poll with one at once, as before.

Test: WorkerLives, red before with the new check (1 violation), green now.

--- a/src/libjobs/workerlink.cpp
+++ b/src/libjobs/workerlink.cpp
@@ -337,8 +337,7 @@
         pollOrder.onlyOver = m_channel;
         pollOrder.acknowledged = m_acknowledged;
     }
-    // Retries don't extend the lease; otherwise the lease of an unresponsive worker would never be known to expire.
-    if (m_lease.hasClockSample() && m_failedPolls == 0) {
+    if (canExtendLease()) {
         const std::optional<GrantTerm> term = m_handlers.grantLease();
         pollOrder.leaseUntil = term ? std::optional(m_lease.grant(*term)) : std::nullopt;
     }
@@ -351,6 +350,15 @@
                }));
 }
 
+/**
+ * Whether a poll that is sent now may name a time. Over a new connection it may reach a later life, whose clock isn't
+ * known. Retries don't: otherwise the lease of an unresponsive worker would never be known to expire.
+ */
+bool WorkerLink::canExtendLease() const
+{
+    return m_channel && m_lease.hasClockSample() && m_failedPolls == 0;
+}
+
 void WorkerLink::handlePoll(TimePoint sentAt, const WorkerResult &result)
 {
     if (result) {
@@ -362,7 +370,7 @@
 
 void WorkerLink::applyAnswer(TimePoint sentAt, const WorkerAnswer &answer)
 {
-    const bool leaseWasRequested = m_lease.hasClockSample() && m_failedPolls == 0;
+    const bool leaseWasRequested = canExtendLease();
     m_failedPolls = 0;
     if (answer.life && *answer.life != m_life) {
         m_context.log(LogLevel::Info, events::workerNewLife,
--- a/src/libjobs/workerlink.h
+++ b/src/libjobs/workerlink.h
@@ -132,6 +132,7 @@
 
 private:
     void poll(Milliseconds wait);
+    [[nodiscard]] bool canExtendLease() const;
     void handlePoll(TimePoint sentAt, const WorkerResult &result);
     void applyAnswer(TimePoint sentAt, const WorkerAnswer &answer);
     void updateRunning(const WorkerAnswer &answer);
