Confirm nothing as recorded once the shard is lost

What callers could see: a task that runs again after a successful run (TWICE); not seen so far. A worker forgets an end that is acknowledged, and a writer that has just lost the shard could acknowledge one that it hadn't recorded.

Cause: JobLog::flush ran its handler at once when nothing was pending or in flight, also after the loss, when append refuses records. A commit that is in flight at the loss hid it: the flush then waited for ever.

Change: flush runs nothing once the shard is lost.

Test: Log/flushOfALostLogConfirmsNothing, red before ("an end that was refused counts as recorded"), green now.

--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -148,6 +148,9 @@
 
 void JobLog::flush(CommitHandler then)
 {
+    if (m_isLost) {
+        return;
+    }
     if (m_pending.empty() && !m_inFlight) {
         then();
     } else {
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -65,7 +65,7 @@
     void load(std::function<void()> then);
     /** Applies @p record to the table and queues it; false when the table rejects it or the shard is lost. */
     bool append(const JobRecord &record, RecordUrgency urgency, CommitHandler then = {});
-    /** Runs @p then when all records appended so far are committed. */
+    /** Runs @p then when all records appended so far are committed; doesn't run it once the shard is lost. */
     void flush(CommitHandler then);
     /** Reads the claim from the store, to learn whether this host is still the writer after this call. */
     void checkWriter(std::function<void(WriterCheck)> then);
--- a/tests/libjobs/testjoblog.cpp
+++ b/tests/libjobs/testjoblog.cpp
@@ -199,6 +199,32 @@
     }
 }
 
+/**
+ * Guards against ends that a writer acknowledges after it has lost the shard, without a record of them: the worker
+ * forgets them, and the task runs again after a successful run.
+ */
+BOOST_AUTO_TEST_CASE(flushOfALostLogConfirmsNothing)
+{
+    VirtualStore store;
+    LogOnStore test(store, {});
+    bool isFlushed = false;
+    test.log().flush([&isFlushed] { isFlushed = true; });
+    BOOST_TEST(isFlushed, "nothing is to be committed");
+    acceptJob(test, batchJob(1));
+    test.pass(Milliseconds(1000));
+    // Another host claims, and nothing is under way when this one learns of it.
+    store.put(StoreLayout().claimKey(), "another");
+    test.log().checkWriter([](WriterCheck /*check*/) {});
+    test.pass(Milliseconds(100));
+    BOOST_TEST(!test.log().provenAt().has_value());
+    const RunRef run { { { batchJob(1).id, 0, 0 }, 0 }, RunNumber(1) };
+    BOOST_TEST(!test.log().append(RunEnded { run, RunEnd::Done, {} }, RecordUrgency::Urgent));
+    isFlushed = false;
+    test.log().flush([&isFlushed] { isFlushed = true; });
+    test.pass(Milliseconds(1000));
+    BOOST_TEST(!isFlushed, "an end that was refused counts as recorded");
+}
+
 /** The second copy of a commit is refused since it was applied, which doesn't tell that the claim still holds. */
 BOOST_AUTO_TEST_CASE(commitFoundAfterALostAnswerDoesNotConfirmASupersededClaim)
 {
