Date the proof of a claim when it was sent

What could be seen: a host that is paused while its claim is answered, and replaced meanwhile, extended leases for up to 4.5 s longer than its successor waits, once it went on: a task may run twice. Not seen by callers so far.

Cause: JobLog took the time at which it was made, after the claim's answer was handled, for the last proof. A writer that hears no host yet goes on for 3 s after it.

Change: the election tells when it first sent the claim; that is the first proof.

--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -34,15 +34,15 @@
 
 } // namespace
 
-JobLog::JobLog(StoreLayout layout, WriterToken token, std::uint64_t nonce, JobContext &context, JobLogLimits limits,
+JobLog::JobLog(StoreLayout layout, OwnClaim claim, std::uint64_t nonce, JobContext &context, JobLogLimits limits,
                std::function<void()> onLost)
     : m_layout(layout)
-    , m_token(token)
+    , m_token(claim.token)
     , m_nonce(nonce)
     , m_context(context)
     , m_limits(limits)
     , m_onLost(std::move(onLost))
-    , m_lastConfirmed(context.now())
+    , m_lastConfirmed(claim.provenAt)
 {
 }
 
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -54,11 +54,20 @@
     /** Runs once the record is committed; doesn't run when the shard is lost before that. */
     using CommitHandler = std::function<void()>;
 
+    /** A claim of this host. */
+    struct OwnClaim
+    {
+        /** The claim's revision. */
+        WriterToken token;
+        /** A time at which it was in force. */
+        TimePoint provenAt {};
+    };
+
     /**
-     * @p token is the revision of this host's claim. @p onLost runs once, when another host has taken over the shard;
+     * @p onLost runs once, when another host has taken over the shard;
      * the object must not be used after that. Precondition: @p context outlives the object.
      */
-    JobLog(StoreLayout layout, WriterToken token, std::uint64_t nonce, JobContext &context, JobLogLimits limits,
+    JobLog(StoreLayout layout, OwnClaim claim, std::uint64_t nonce, JobContext &context, JobLogLimits limits,
            std::function<void()> onLost);
 
     /** Reads the whole log; @p then runs when the table is complete. */
--- a/src/libjobs/jobnode.cpp
+++ b/src/libjobs/jobnode.cpp
@@ -55,7 +55,9 @@
                  { m_options.self, m_options.peerAddress, m_options.nonce, m_options.processors, leaseTerms(),
                    m_options.timing.longestLease, std::max(m_options.shortestStoreLease, Milliseconds(1000)) },
                  context,
-                 { [this](WriterToken token, const InheritedLeases &inherited) { handleClaimed(token, inherited); },
+                 { [this](WriterToken token, const InheritedLeases &inherited, TimePoint provenAt) {
+                      handleClaimed(token, inherited, provenAt);
+                  },
                    [this](TimePoint until) { limitInheritedLeases(until); }, [this] { handleSuperseded(); },
                    [this](const WriterClaim &claim) {
                        followWriter(claim);
@@ -279,7 +281,7 @@
     }
 }
 
-void JobNode::handleClaimed(WriterToken token, const InheritedLeases &inherited)
+void JobNode::handleClaimed(WriterToken token, const InheritedLeases &inherited, TimePoint provenAt)
 {
     m_claimedAt = m_context.now();
     // What was known of the hosts as an earlier writer is out of date.
@@ -287,6 +289,7 @@
     RunController::Options options;
     options.layout = m_layout;
     options.token = token;
+    options.provenAt = provenAt;
     options.timing = m_options.timing;
     options.terms = leaseTerms();
     options.inherited = inherited;
--- a/src/libjobs/jobnode.h
+++ b/src/libjobs/jobnode.h
@@ -86,7 +86,7 @@
     [[nodiscard]] std::optional<HeartbeatTime> heardWriterHeartbeat() const;
     /** When this writer sent the last heartbeat that all hosts have heard; nullopt when it hears no host. */
     [[nodiscard]] std::optional<TimePoint> heardByAll() const;
-    void handleClaimed(WriterToken token, const InheritedLeases &inherited);
+    void handleClaimed(WriterToken token, const InheritedLeases &inherited, TimePoint provenAt);
     void limitInheritedLeases(TimePoint until);
     void handleSuperseded();
     void followWriter(const WriterClaim &claim);
--- a/src/libjobs/jobwriter.cpp
+++ b/src/libjobs/jobwriter.cpp
@@ -39,12 +39,15 @@
     , m_handlers(std::move(handlers))
     , m_options(std::move(options))
     , m_formats(std::move(formats))
-    , m_log(layout, m_options.token, nonce, context, logLimits, [this] { handleShardLost(); })
+    , m_log(layout, { m_options.token, m_options.provenAt }, nonce, context, logLimits, [this] { handleShardLost(); })
 {
 }
 
 void JobWriter::begin()
 {
+    if (m_context.now() - m_log.lastConfirmed() >= unsupportedConfirmAge) {
+        m_log.checkWriter([](WriterCheck /*check*/) {});
+    }
     m_log.load(m_lifetime.guard([this] { activate(); }));
 }
 
--- a/src/libjobs/runcontroller.h
+++ b/src/libjobs/runcontroller.h
@@ -37,6 +37,8 @@
     {
         StoreLayout layout;
         WriterToken token;
+        /** A time at which the claim was in force. */
+        TimePoint provenAt {};
         WorkerTiming timing;
         /** Leases that earlier writers may have granted. */
         InheritedLeases inherited;
--- a/src/libjobs/writerelection.cpp
+++ b/src/libjobs/writerelection.cpp
@@ -116,11 +116,17 @@
                     { "replaced", std::to_string(m_claim->replaced.value()) },
                     { "inherited_ms", std::to_string((inherited.elsewhere - m_context.now()).count()) },
                     { "listed", std::to_string(inherited.listed.size()) } });
-    m_handlers.onClaimed(*m_token, inherited);
+    m_handlers.onClaimed(*m_token, inherited, claimedSince());
     m_liveness.start(*m_token);
     scheduleSettled(*m_token, inherited.latest() - m_context.now());
 }
 
+/** A time at which the own claim was in force or didn't exist yet: any of the attempts may have been the one. */
+TimePoint WriterElection::claimedSince() const
+{
+    return m_triedToReplace == m_claim->replaced ? m_firstTriedAt : TimePoint {};
+}
+
 /** Notes in the store that the inherited leases are over, so that a later writer needn't wait for them. */
 void WriterElection::scheduleSettled(WriterToken token, Milliseconds delay)
 {
@@ -252,7 +258,10 @@
 void WriterElection::writeClaim(LeaseId lease, StoreRevision replaced)
 {
     m_liveness.setLease(lease);
-    m_triedToReplace = replaced;
+    if (m_triedToReplace != replaced || m_firstTriedAt == TimePoint {}) {
+        m_triedToReplace = replaced;
+        m_firstTriedAt = m_context.now();
+    }
     const std::string claim = encodeClaim({ {},
                                             m_options.self,
                                             m_options.address,
--- a/src/libjobs/writerelection.h
+++ b/src/libjobs/writerelection.h
@@ -39,8 +39,11 @@
     };
     struct Handlers
     {
-        /** This host is now the writer of the shard, with the fencing token @p token. */
-        std::function<void(WriterToken token, const InheritedLeases &inherited)> onClaimed;
+        /**
+         * This host is now the writer of the shard, with the fencing token @p token. Its claim is known to have been in
+         * force at @p provenAt; the answer that told so may be much later.
+         */
+        std::function<void(WriterToken token, const InheritedLeases &inherited, TimePoint provenAt)> onClaimed;
         /** Leases that this host inherited as the writer are over at @p until. */
         std::function<void(TimePoint until)> onInheritedLimit;
         /** Another host has claimed the shard that this host was the writer of. */
@@ -89,6 +92,7 @@
     void applyEntry(const KvEntry &entry);
     void applyClaim(const KvEntry &entry);
     void applyOwnClaim();
+    [[nodiscard]] TimePoint claimedSince() const;
     void scheduleSettled(WriterToken token, Milliseconds delay);
     void checkWriter();
     [[nodiscard]] Milliseconds claimDelay() const;
@@ -117,8 +121,9 @@
     std::optional<TimePoint> m_readableSince;
     /** Fencing token of this host while it is the writer. */
     std::optional<WriterToken> m_token;
-    /** The claim that this process has last tried to replace. */
+    /** The claim that this process has last tried to replace, and when it first did. */
     StoreRevision m_triedToReplace;
+    TimePoint m_firstTriedAt {};
     bool m_isClaiming = false;
     bool m_isProbing = false;
     bool m_isRetired = false;
--- a/tests/libjobs/testformerwriters.cpp
+++ b/tests/libjobs/testformerwriters.cpp
@@ -2,6 +2,7 @@
 #include "virtualjobs.h"
 #include "virtualsite.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 #include <boost/test/data/monomorphic.hpp>
@@ -19,6 +20,7 @@
 constexpr Milliseconds cutGap { 50 };
 constexpr Milliseconds longestAbsence { 9000 };
 constexpr Milliseconds absenceStep { 100 };
+constexpr Milliseconds pausedClaimStep { 20 };
 constexpr Milliseconds restTime { 400 };
 constexpr Milliseconds returnLimit { 20'000 };
 constexpr int randomRounds = 3;
@@ -86,6 +88,23 @@
         BOOST_REQUIRE(m_site.runUntil([this] { return m_worker.has_value(); }, Milliseconds(3000)));
     }
 
+    /** The writer is lost while the task runs; the host that replaces it stands still, and the next one is cut off. */
+    void pauseSuccessor()
+    {
+        BOOST_REQUIRE(m_site.submit(m_job));
+        BOOST_REQUIRE(isWorkDone());
+        m_isPaused = true;
+        m_site.pauseAfterNextClaim([this](const HostId &host) {
+            m_former = host;
+            // Otherwise the watch tells it of its successor as it goes on.
+            m_site.setStoreFault(host, StoreFault::WatchesSilent);
+            m_site.dropWatches();
+            cutTwice(busyWorker());
+        });
+        m_site.killHost(*m_site.writer());
+        BOOST_REQUIRE(m_site.runUntil([this] { return m_worker.has_value(); }, Milliseconds(5000)));
+    }
+
     void returnAfter(Milliseconds absence)
     {
         m_site.run(absence);
@@ -142,6 +161,13 @@
         return true;
     }
 
+    WorkerId busyWorker()
+    {
+        const std::vector<WorkerId> workers = m_site.workers();
+        return *std::ranges::find_if(
+            workers, [this](const WorkerId &worker) { return m_site.worker(worker).runningCount() > 0; });
+    }
+
     void cutTwice(const WorkerId &worker)
     {
         m_worker = worker;
@@ -297,6 +323,24 @@
     }
 }
 
+/**
+ * Guards against a host that is paused while its claim is answered, and takes the claim for proven when it goes on,
+ * though another one has replaced it: it extended leases for longer than its successor waits.
+ */
+BOOST_AUTO_TEST_CASE(claimsAnsweredBeforeAPauseProveNothingAfterIt)
+{
+    std::uint64_t seed = 0;
+    for (Milliseconds absence(4000); absence <= longestAbsence; absence += pausedClaimStep) {
+        const std::string context =
+            "away for " + std::to_string(absence.count()) + " ms, seed " + std::to_string(++seed);
+        Play play(seed, longJob(seed));
+        play.pauseSuccessor();
+        play.returnAfter(absence);
+        BOOST_TEST(play.isWorkDone(), context);
+        play.requireNoViolation(context);
+    }
+}
+
 /** Guards against starts that stay away after an outage in which nobody could replace the writer. */
 BOOST_AUTO_TEST_CASE(placementsFoundLateAreStartedOnceTheClaimIsProven)
 {
--- a/tests/libjobs/testjoblog.cpp
+++ b/tests/libjobs/testjoblog.cpp
@@ -20,7 +20,7 @@
     LogOnStore(VirtualStore &store, JobLogLimits limits)
         : m_store(store)
         , m_context(1, makeDriver())
-        , m_log({}, claimedRevision(), 42, m_context, limits, [] {})
+        , m_log({}, { claimedRevision(), m_now }, 42, m_context, limits, [] {})
     {
         m_context.setTime(m_now, WallTime(0));
         m_log.load([] {});
@@ -249,7 +249,7 @@
     context.setTime(now, WallTime(0));
     bool isLost = false;
     bool isCommitted = false;
-    JobLog log(layout, token, 42, context, JobLogLimits {}, [&isLost] { isLost = true; });
+    JobLog log(layout, { token, now }, 42, context, JobLogLimits {}, [&isLost] { isLost = true; });
     log.load([] {});
     calls.front().second(KvReply {});
     calls.clear();
--- a/tests/libjobs/virtualsite.h
+++ b/tests/libjobs/virtualsite.h
@@ -134,6 +134,8 @@
     void setStoreFault(const HostId &host, StoreFault fault);
     /** Applies @p fault to the host's next commit that places a run; @p then receives the worker. */
     void failAfterPlacement(const HostId &host, PlacementFault fault, std::function<void(const WorkerId &)> then);
+    /** Pauses the next host that claims the shard, with the answer on its way; @p then receives the host. */
+    void pauseAfterNextClaim(std::function<void(const HostId &)> then);
     void setStoreDelay(Milliseconds perCall);
     /** While deaf, watches report no changes and no loss of history. */
     void setWatchesDeaf(bool areDeaf);
@@ -290,6 +292,7 @@
     std::set<std::pair<HostId, WorkerId>> m_workerCuts;
     std::set<std::string> m_silentPrefixes;
     std::map<std::string, std::size_t> m_reads;
+    std::function<void(const HostId &)> m_onNextClaim;
     std::map<std::string, std::size_t, std::less<>> m_counters;
     Milliseconds m_storeDelay { 4 };
     bool m_areWatchesDeaf = false;
--- a/tests/libjobs/virtualsitefaults.cpp
+++ b/tests/libjobs/virtualsitefaults.cpp
@@ -132,6 +132,11 @@
     find(host).placementFault = { fault, std::move(then) };
 }
 
+void VirtualSite::pauseAfterNextClaim(std::function<void(const HostId &)> then)
+{
+    m_onNextClaim = std::move(then);
+}
+
 void VirtualSite::setStoreDelay(Milliseconds perCall)
 {
     m_storeDelay = perCall;
--- a/tests/libjobs/virtualsitewires.cpp
+++ b/tests/libjobs/virtualsitewires.cpp
@@ -271,6 +271,10 @@
     const auto claim = std::ranges::find(commit.puts, layout.claimKey(), &KvPut::key);
     if (claim != commit.puts.end()) {
         m_judge.noteClaim(*decodeClaim({ claim->key, claim->value, result->revision, false }), m_now);
+        if (const auto noteClaim = std::exchange(m_onNextClaim, {})) {
+            pauseHost(host.id);
+            noteClaim(host.id);
+        }
     }
     const std::optional<WorkerId> worker = host.placementFault ? placedOn(commit) : std::nullopt;
     if (!worker) {
