--- a/tests/libjobs/provenauthority.cpp
+++ b/tests/libjobs/provenauthority.cpp
@@ -2,7 +2,7 @@
 
 namespace currantring {
 
-LeaseAuthority provenAuthority(std::function<TimePoint()> now, Milliseconds lease)
+LeaseAuthority provenAuthority(const std::function<TimePoint()> &now, Milliseconds lease)
 {
     const LeaseTerms terms { lease, Milliseconds(3000), {}, {} };
     return { terms,
--- a/tests/libjobs/testformerwriters.cpp
+++ b/tests/libjobs/testformerwriters.cpp
@@ -263,7 +263,7 @@
 void pauseSomeHost(Play &play, Random &random)
 {
     const std::vector<HostId> hosts = play.site().hosts();
-    const HostId host = hosts.at(uniformBelow(random, hosts.size()));
+    const HostId &host = hosts.at(uniformBelow(random, hosts.size()));
     play.site().pauseHost(host);
     play.site().run(processPause);
     play.site().resumeHostInRandomOrder(host);
--- a/tests/libjobs/virtualsitewires.cpp
+++ b/tests/libjobs/virtualsitewires.cpp
@@ -212,7 +212,7 @@
     };
     at(m_now + timeout, [finish] { finish(tl::unexpected(KvError { KvErrorKind::Unknown, {} })); });
     ++m_reads[readPrefix(request)];
-    at(m_now + latency(), [this, &host, process, request, finish] {
+    at(m_now + latency(), [this, &host, request, finish] {
         const bool isWatch = std::holds_alternative<KvWatch>(request);
         if (m_silentPrefixes.contains(readPrefix(request))) {
             return;
