--- a/src/libjobs/leaseauthority.h
+++ b/src/libjobs/leaseauthority.h
@@ -7,7 +7,10 @@
 
 namespace currantring {
 
-/** Until when an order to a worker may count. Only a LeaseAuthority creates one, so each rests on a proof of the claim.
+/**
+ * Until when an order to a worker may count.
+ *
+ * Only a LeaseAuthority creates one, so that each rests on a proof of the claim.
  */
 class GrantTerm
 {
