--- a/tests/libjobs/testformerwriters.cpp
+++ b/tests/libjobs/testformerwriters.cpp
@@ -1,9 +1,9 @@
+#include "environmentnumber.h"
 #include "jobevents.h"
 #include "virtualjobs.h"
 #include "virtualsite.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -32,12 +32,6 @@
 constexpr std::uint64_t connectingJob = 1'000'000;
 constexpr Millicores wholeWorker { 8000 };
 
-std::uint64_t numberFromEnvironment(const char *name, std::uint64_t otherwise)
-{
-    const char *const value = std::getenv(name);
-    return value == nullptr ? otherwise : std::stoull(value);
-}
-
 /** How the writer loses the store while it places a task, and what it is answered meanwhile. */
 struct Absence
 {
--- a/tests/libjobs/testsettled.cpp
+++ b/tests/libjobs/testsettled.cpp
@@ -1,9 +1,8 @@
+#include "environmentnumber.h"
 #include "jobevents.h"
 #include "virtualclients.h"
 #include "virtualjobs.h"
 
-#include <cstdlib>
-
 #include <boost/test/unit_test.hpp>
 
 using namespace currantring;
@@ -188,12 +187,6 @@
     }
 }
 
-std::uint64_t numberFromEnvironment(const char *name, std::uint64_t otherwise)
-{
-    const char *const value = std::getenv(name);
-    return value == nullptr ? otherwise : std::stoull(value);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Settled)
