--- a/tests/processes/late-commit.sh
+++ b/tests/processes/late-commit.sh
@@ -10,11 +10,13 @@
 ln -s "$bin" "$work/target/bin"
 ln -s "$root/charts" "$work/charts"
 cd "$work"
-status=0
-"$bin/currantring-late-commit" "$work/record" || status=$?
-if [ "$status" != 0 ]; then
-    echo "late-commit: ended with $status"
-    cat "$work/record"
-    exit 1
-fi
+for delay in answer pause; do
+    status=0
+    "$bin/currantring-late-commit" "$work/record" "$delay" || status=$?
+    if [ "$status" != 0 ]; then
+        echo "late-commit: ended with $status, delay of the $delay"
+        cat "$work/record"
+        exit 1
+    fi
+done
 echo "late-commit: ok"
--- a/tests/processes/latecommit.cpp
+++ b/tests/processes/latecommit.cpp
@@ -1,7 +1,10 @@
-// The store carries out a placement of the writer, answers it once the writer's claim counts no more, and tells it
-// nothing else meanwhile. Another host has taken over by then, without a path to the worker of that placement.
+// The store carries out a placement of the writer, which learns of that when its claim counts no more. Another host has
+// taken over by then, without a path to the worker of that placement.
 //
-//     currantring-late-commit RECORD
+//     currantring-late-commit RECORD answer|pause
+//
+// With "answer", the store answers the placement late; with "pause", the process is stopped before the answer and goes
+// on later. The store answers nothing else to that host meanwhile.
 //
 // Run in a folder with target/bin and charts. Exits with 1 if the former writer starts the task, 0 if it doesn't, 2 if
 // it couldn't be played.
@@ -16,16 +19,22 @@
 namespace {
 
 const char *const ip = "127.0.0.1";
-constexpr int rounds = 2;
-/** A claim counts for 3 s after its last proof; the answer to the placement comes later. */
+/** A claim counts for 3 s after its last proof; the answer to the placement is read later. */
 constexpr std::int64_t claimTermMs = 3000;
 constexpr int answerDelayMs = 3700;
-/** From then on everything is reachable again; by then the former writer would have sent its start. */
+/** By then the next writer has started the task elsewhere. */
+constexpr int pauseMs = 8400;
+/** Everything is reachable again after this time; by then the former writer would have sent its start. */
 constexpr int restMs = 1000;
+/** The order in which a process reads what came during a pause differs, so there are more rounds with it. */
+constexpr int roundsWithAnswer = 2;
+constexpr int roundsWithPause = 4;
 constexpr int recoveryMs = 20'000;
 constexpr std::int64_t firstStepMs = 700;
 constexpr std::int64_t secondStepMs = 60'000;
 
+enum class Delay { OfAnswer, OfProcess };
+
 /** What the play does at the moment; guarded by the lock of the world. */
 struct Trouble
 {
@@ -68,10 +77,12 @@
 class StorePath
 {
 public:
-    StorePath(review3::Site &site, Trouble &trouble, int storePort)
+    /** @p onPlacement runs before the placement that the play waits for is answered. */
+    StorePath(review3::Site &site, Trouble &trouble, int storePort, std::function<void()> onPlacement)
         : m_site(site)
         , m_trouble(trouble)
         , m_storePort(storePort)
+        , m_onPlacement(std::move(onPlacement))
     {
     }
 
@@ -91,11 +102,11 @@
         if (m_isSilent) {
             return std::nullopt;
         }
-        const bool isLost = notePlacement(request);
-        m_isSilent = m_isSilent || isLost;
+        const bool isPlacement = notePlacement(request);
+        m_isSilent = m_isSilent || isPlacement;
         const review3::Response response = forward(request);
-        if (isLost) {
-            review3::sleepMs(answerDelayMs);
+        if (isPlacement) {
+            m_onPlacement();
             m_site.world.note("the store answers the placement with " + std::to_string(response.status));
             return response;
         }
@@ -133,6 +144,7 @@
     review3::Site &m_site;
     Trouble &m_trouble;
     int m_storePort;
+    std::function<void()> m_onPlacement;
     std::atomic<bool> m_isSilent { false };
     review3::Server m_server;
 };
@@ -140,8 +152,9 @@
 class Play
 {
 public:
-    explicit Play(const char *record)
+    Play(const char *record, Delay delay)
         : m_site(record)
+        , m_delay(delay)
     {
     }
 
@@ -159,6 +172,7 @@
             return review3::end(m_site, 2);
         }
         review3::sleepMs(settleMs);
+        const int rounds = m_delay == Delay::OfAnswer ? roundsWithAnswer : roundsWithPause;
         for (int round = 0; round < rounds; ++round) {
             const std::string job = "5c0e7a21d94b000" + std::to_string(round);
             if (!playRound(job)) {
@@ -176,13 +190,24 @@
     void addHost(const std::string &name)
     {
         constexpr double cpuShare = 0.25;
-        const int storePort = m_site.store.listen(ip).number;
-        m_paths.push_back(std::make_unique<StorePath>(m_site, m_trouble, storePort));
-        const std::string address = m_site.net + std::to_string(10 + m_paths.size());
+        constexpr std::size_t firstAddress = 11;
+        const std::size_t index = m_site.hosts.size();
+        m_paths.push_back(std::make_unique<StorePath>(m_site, m_trouble, m_site.store.listen(ip).number,
+                                                      [this, index] { delay(*m_site.hosts[index]); }));
+        const std::string address = m_site.net + std::to_string(firstAddress + index);
         m_site.hosts.push_back(std::make_unique<review3::Host>(m_site.world, name, address, cpuShare,
                                                                m_paths.back()->listen(), m_site.folder));
     }
 
+    void delay(review3::Host &host) const
+    {
+        if (m_delay == Delay::OfProcess) {
+            host.signal(SIGSTOP, "is stopped");
+        } else {
+            review3::sleepMs(answerDelayMs);
+        }
+    }
+
     void addWorker(const std::string &id)
     {
         review3::Minion::Options options;
@@ -218,7 +243,13 @@
             })) {
             return false;
         }
-        review3::sleepMs(answerDelayMs + restMs);
+        if (m_delay == Delay::OfProcess) {
+            review3::sleepMs(pauseMs);
+            writer->signal(SIGCONT, "goes on");
+        } else {
+            review3::sleepMs(answerDelayMs);
+        }
+        review3::sleepMs(restMs);
         endTrouble();
         return m_site.waitFor(recoveryMs, [this, &job] { return !m_site.runsOf(job + ".0.1.").empty(); });
     }
@@ -251,6 +282,7 @@
     }
 
     review3::Site m_site;
+    Delay m_delay;
     Trouble m_trouble;
     std::vector<std::unique_ptr<StorePath>> m_paths;
 };
@@ -259,9 +291,10 @@
 
 int main(int argc, char **argv)
 {
-    if (argc != 2) {
-        std::fputs("expected RECORD\n", stderr);
+    const std::string_view delay = argc == 3 ? argv[2] : "";
+    if (delay != "answer" && delay != "pause") {
+        std::fputs("expected RECORD answer|pause\n", stderr);
         return 2;
     }
-    return Play(argv[1]).run();
+    return Play(argv[1], delay == "answer" ? Delay::OfAnswer : Delay::OfProcess).run();
 }
