Send the broken frame of a test in one write

Cause, in the test: bash writes the frame line by line, in 16, 2, 4, 2 and 9 bytes. The daemon sends its settings as it takes the connection, which the client doesn't read, so closing it resets the connection, and the kernel drops those pieces that wait for an acknowledgement: the frame never arrives.

--- a/tests/processes/bad-input.sh
+++ b/tests/processes/bad-input.sh
@@ -121,8 +121,10 @@
 no_protocol() {
     head -c 4000 /dev/zero | tr '\0' x
 }
+# In one write: of several, the kernel drops what isn't sent yet when a connection is closed with unread bytes.
+printf 'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\377\377\377\004\000\000\000\000\000' >"$work/broken_frame"
 broken_frame() {
-    printf 'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\377\377\377\004\000\000\000\000\000'
+    cat "$work/broken_frame"
 }
 heard_garbage() {
     [ "$(metric a currantring_peer_garbage)" = "$1" ]
