Build the routes of a process test as an array with any compiler

Cause, in the test: clang takes a JSON value in braces for a copy, g++ for an array of one. The release build is made by g++, so it had passed.

--- a/tests/processes/latecommit.cpp
+++ b/tests/processes/latecommit.cpp
@@ -166,7 +166,8 @@
         for (const char *const id : { "w-1", "w-2", "w-3", "w-4", "w-5" }) {
             addWorker(id);
         }
-        m_site.configure(review3::configuration(1, { review3::queue("r-orders", "/orders/", 4) }));
+        m_site.configure(
+            review3::configuration(1, nlohmann::json::array({ review3::queue("r-orders", "/orders/", 4) })));
         constexpr int settleMs = 2500;
         if (!m_site.begin()) {
             return review3::end(m_site, 2);
