--- a/tests/currantringd/testlimitedserver.cpp
+++ b/tests/currantringd/testlimitedserver.cpp
@@ -96,20 +96,12 @@
     /** Waits until the server holds @p bytes of requests. */
     [[nodiscard]] bool awaitHeld(std::size_t bytes) const
     {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::minutes(1);
-        while (m_server.heldBytes() < bytes && std::chrono::steady_clock::now() < end) {
-            std::this_thread::yield();
-        }
-        return m_server.heldBytes() >= bytes;
+        return await([this, bytes] { return m_server.heldBytes() >= bytes; });
     }
     /** Waits until the server holds nothing of any request. */
     [[nodiscard]] bool awaitReleased() const
     {
-        const auto end = std::chrono::steady_clock::now() + std::chrono::minutes(1);
-        while (m_server.heldBytes() > 0 && std::chrono::steady_clock::now() < end) {
-            std::this_thread::yield();
-        }
-        return m_server.heldBytes() == 0;
+        return await([this] { return m_server.heldBytes() == 0; });
     }
     [[nodiscard]] int refused() const
     {
@@ -117,6 +109,16 @@
     }
 
 private:
+    template<typename Condition>
+    [[nodiscard]] static bool await(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::minutes(1);
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            std::this_thread::yield();
+        }
+        return condition();
+    }
+
     std::atomic<int> m_refused = 0;
     LimitedServer m_server;
     Thread m_thread;
